Set the shape: aggregates, value types, and decisions free of I/O

Cause: the project starts empty; the first commits fix the folders, the core types and the errors that everything else follows.

--- /dev/null
+++ b/src/admission/admission.hpp
@@ -0,0 +1,150 @@
+// Which requests a target takes in, and when each gets a slot.
+//
+// Index
+//   refusal     why a request was turned away, and when to come back
+//   admission   the aggregate, over a queue policy and a predictor
+#pragma once
+
+#include "admission/prediction.hpp"
+#include "admission/queues.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lagoon {
+
+// ---- refusal ------------------------------------------------------------
+
+struct refusal
+{
+    reason why = reason::none;
+    duration retry_after = {};
+    auto operator<=>(refusal const&) const = default;
+};
+
+struct admission_limits
+{
+    std::uint32_t slots = 1;         // requests run at once
+    std::size_t most_waiting = 256;  // requests queued at once
+    duration cold_span = {};         // a cold target ramps up this long
+    auto operator<=>(admission_limits const&) const = default;
+};
+
+// ---- admission ----------------------------------------------------------
+
+template <queue_policy Queue, running_time_predictor Predictor> class admission
+{
+public:
+    admission(admission_limits limits, time_point now)
+        : limits(limits), started(now)
+    {
+    }
+
+    // Queues a request, or says why not. A request whose predicted wait
+    // passes its deadline is refused at once: better now than too late.
+    std::optional<refusal> offer(request_key key, work_kind const& kind,
+                                 std::optional<time_point> deadline,
+                                 time_point now)
+    {
+        waiting_request const request{key, kind.caller,
+                                      this->predictor.predict(kind), now};
+        duration const wait = this->predicted_wait(request, now);
+        if (this->queue.size() >= this->limits.most_waiting)
+            return refusal{reason::overloaded, wait};
+        if (deadline && now + wait + request.predicted > *deadline)
+            return refusal{reason::overloaded, wait};
+        this->queue.push(request);
+        this->kinds.insert_or_assign(key, kind);
+        return std::nullopt;
+    }
+
+    // The next request to run, while a slot is free.
+    std::optional<waiting_request> next(time_point now)
+    {
+        if (this->running.size() >= this->open_slots(now))
+            return std::nullopt;
+        std::optional<waiting_request> const picked =
+            this->queue.pop(this->use(), now);
+        if (picked)
+            this->running.insert_or_assign(picked->key,
+                                           running_request{*picked, now});
+        return picked;
+    }
+
+    // A running request is over; the predictor learns how long it took.
+    void finished(request_key key, time_point now)
+    {
+        auto const kind = this->kinds.find(key);
+        auto const run = this->running.find(key);
+        if (kind != this->kinds.end() && run != this->running.end())
+            this->predictor.learn(kind->second, now - run->second.since);
+        this->release(key);
+    }
+
+    // A request left without having run; nothing is learnt.
+    void release(request_key key)
+    {
+        this->running.erase(key);
+        this->queue.remove(key);
+        this->kinds.erase(key);
+    }
+
+    // Requests running or waiting.
+    std::uint32_t load() const
+    {
+        return static_cast<std::uint32_t>(this->running.size() +
+                                          this->queue.size());
+    }
+
+    std::uint32_t slots() const
+    {
+        return this->limits.slots;
+    }
+
+    duration predicted_wait(waiting_request const& request,
+                            time_point now) const
+    {
+        std::uint32_t const open = this->open_slots(now);
+        if (this->running.size() < open && this->queue.size() == 0)
+            return duration{};
+        return this->queue.work_before(request) / open;
+    }
+
+private:
+    struct running_request
+    {
+        waiting_request what = {};
+        time_point since = {};
+        auto operator<=>(running_request const&) const = default;
+    };
+
+    // A cold target opens its slots one after the other.
+    std::uint32_t open_slots(time_point now) const
+    {
+        duration const age = now - this->started;
+        if (age >= this->limits.cold_span)
+            return this->limits.slots;
+        auto const share =
+            this->limits.slots * age.count() / this->limits.cold_span.count();
+        return static_cast<std::uint32_t>(std::max<std::int64_t>(share, 1));
+    }
+
+    slot_use use() const
+    {
+        std::uint32_t shorts = 0;
+        for (auto const& [key, run] : this->running)
+            shorts += is_short(run.what) ? 1U : 0U;
+        auto const all = static_cast<std::uint32_t>(this->running.size());
+        return {this->limits.slots, shorts, all - shorts};
+    }
+
+    admission_limits limits;
+    time_point started;
+    Queue queue = {};
+    Predictor predictor = {};
+    std::map<request_key, running_request> running = {};
+    std::map<request_key, work_kind> kinds = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/admission/prediction.hpp
@@ -0,0 +1,169 @@
+// How long a request will run, guessed from what its caller declared and
+// from what earlier requests of its kind took.
+//
+// Index
+//   running_time_predictor   the concept
+//   declared_time            the baseline: what the caller says
+//   recent_ratio             largest of the last five ratios of actual to
+//                            declared time (Klusacek and Soysal, Walltime
+//                            Prediction, formula 2), by caller and path
+//   recent_path_time         largest of the last five times of a path
+#pragma once
+
+#include "base/values.hpp"
+
+#include <algorithm>
+#include <array>
+#include <concepts>
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace lagoon {
+
+// ---- running_time_predictor ---------------------------------------------
+
+struct work_kind
+{
+    caller_id caller = {};
+    std::uint64_t path_hash = 0;
+    duration declared = {};
+    auto operator<=>(work_kind const&) const = default;
+};
+
+template <class P>
+concept running_time_predictor = requires(P predictor, P const& known,
+                                          work_kind kind, duration actual)
+{
+    {
+        known.predict(kind)
+        } -> std::same_as<duration>;
+    predictor.learn(kind, actual);
+};
+
+// Of a request that nobody declares anything of.
+constexpr duration default_running_time = std::chrono::milliseconds{20};
+
+// ---- declared_time ------------------------------------------------------
+
+class declared_time
+{
+public:
+    duration predict(work_kind const& kind) const
+    {
+        return kind.declared > duration{} ? kind.declared
+                                          : default_running_time;
+    }
+
+    void learn(work_kind const&, duration) {}
+};
+
+// ---- recent_ratio, recent_path_time -------------------------------------
+
+namespace detail {
+
+constexpr std::size_t recent_count = 5;   // observations kept
+constexpr std::size_t kinds_kept = 4096;  // bound on the table
+
+struct recent_values
+{
+    std::array<double, recent_count> values = {};
+    std::size_t seen = 0;
+    auto operator<=>(recent_values const&) const = default;
+
+    double largest() const
+    {
+        std::size_t const count = std::min(this->seen, recent_count);
+        return *std::max_element(this->values.begin(),
+                                 this->values.begin() +
+                                     static_cast<std::ptrdiff_t>(count));
+    }
+
+    recent_values with(double value) const
+    {
+        recent_values next = *this;
+        next.values[next.seen % recent_count] = value;
+        ++next.seen;
+        return next;
+    }
+};
+
+class recent_table
+{
+public:
+    recent_values const* find(std::uint64_t key) const
+    {
+        auto const found = this->kinds.find(key);
+        return found == this->kinds.end() ? nullptr : &found->second;
+    }
+
+    void learn(std::uint64_t key, double value)
+    {
+        if (this->kinds.size() >= kinds_kept && !this->kinds.contains(key))
+            this->kinds.erase(this->kinds.begin());
+        recent_values& known = this->kinds[key];
+        known = known.with(value);
+    }
+
+private:
+    std::unordered_map<std::uint64_t, recent_values> kinds = {};
+};
+
+}  // namespace detail
+
+class recent_ratio
+{
+public:
+    duration predict(work_kind const& kind) const
+    {
+        duration const declared = declared_time{}.predict(kind);
+        detail::recent_values const* known = this->table.find(key_of(kind));
+        if (known == nullptr)
+            return declared;
+        double const predicted =
+            static_cast<double>(declared.count()) * known->largest();
+        return duration{static_cast<std::int64_t>(predicted)};
+    }
+
+    void learn(work_kind const& kind, duration actual)
+    {
+        duration const declared = declared_time{}.predict(kind);
+        this->table.learn(key_of(kind),
+                          static_cast<double>(actual.count()) /
+                              static_cast<double>(declared.count()));
+    }
+
+private:
+    static std::uint64_t key_of(work_kind const& kind)
+    {
+        return hash_pair(kind.caller.value, kind.path_hash);
+    }
+
+    detail::recent_table table = {};
+};
+
+class recent_path_time
+{
+public:
+    duration predict(work_kind const& kind) const
+    {
+        detail::recent_values const* known = this->table.find(kind.path_hash);
+        if (known == nullptr)
+            return declared_time{}.predict(kind);
+        return duration{static_cast<std::int64_t>(known->largest())};
+    }
+
+    void learn(work_kind const& kind, duration actual)
+    {
+        this->table.learn(kind.path_hash, static_cast<double>(actual.count()));
+    }
+
+private:
+    detail::recent_table table = {};
+};
+
+static_assert(running_time_predictor<declared_time>);
+static_assert(running_time_predictor<recent_ratio>);
+static_assert(running_time_predictor<recent_path_time>);
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/admission/queues.hpp
@@ -0,0 +1,266 @@
+// In which order waiting requests get the slots of a target. Each order is a
+// type that satisfies `queue_policy`; docs/POLICY.md says which one won.
+//
+// Index
+//   waiting_request     what a policy knows of a request
+//   queue_policy        the concept
+//   fifo_queue          the baseline: one queue, first come first served
+//   short_first_queue   short work first, callers in turn, long work kept
+//                       from waiting for ever
+#pragma once
+
+#include "request/ledger.hpp"
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <deque>
+#include <optional>
+#include <vector>
+
+namespace lagoon {
+
+// ---- waiting_request ----------------------------------------------------
+
+struct waiting_request
+{
+    request_key key = {};
+    caller_id caller = {};
+    duration predicted = {};
+    time_point arrived = {};
+    auto operator<=>(waiting_request const&) const = default;
+};
+
+// Work predicted to run no longer than this is short.
+constexpr duration short_work_limit = std::chrono::milliseconds{100};
+
+inline bool is_short(waiting_request const& request)
+{
+    return request.predicted <= short_work_limit;
+}
+
+// What runs just now, for a policy that keeps slots for some work.
+struct slot_use
+{
+    std::uint32_t slots = 1;
+    std::uint32_t running_short = 0;
+    std::uint32_t running_long = 0;
+    auto operator<=>(slot_use const&) const = default;
+};
+
+// ---- queue_policy -------------------------------------------------------
+
+template <class Q>
+concept queue_policy = std::default_initializable<Q> &&
+    requires(Q queue, Q const& view, waiting_request request, request_key key,
+             slot_use use, time_point now)
+{
+    queue.push(request);
+    {
+        queue.pop(use, now)
+        } -> std::same_as<std::optional<waiting_request>>;
+    {
+        queue.remove(key)
+        } -> std::same_as<bool>;
+    {
+        view.size()
+        } -> std::same_as<std::size_t>;
+    {
+        view.work_before(request)
+        } -> std::same_as<duration>;
+};
+
+// ---- fifo_queue ---------------------------------------------------------
+
+class fifo_queue
+{
+public:
+    void push(waiting_request const& request)
+    {
+        this->waiting.push_back(request);
+    }
+
+    std::optional<waiting_request> pop(slot_use const&, time_point)
+    {
+        if (this->waiting.empty())
+            return std::nullopt;
+        waiting_request const first = this->waiting.front();
+        this->waiting.pop_front();
+        return first;
+    }
+
+    bool remove(request_key key)
+    {
+        return std::erase_if(this->waiting, [key](auto const& one) {
+                   return one.key == key;
+               }) > 0;
+    }
+
+    std::size_t size() const
+    {
+        return this->waiting.size();
+    }
+
+    // Running time that waits before a request that would arrive now.
+    duration work_before(waiting_request const&) const
+    {
+        duration sum{};
+        for (waiting_request const& one : this->waiting)
+            sum += one.predicted;
+        return sum;
+    }
+
+private:
+    std::deque<waiting_request> waiting = {};
+};
+
+// ---- short_first_queue --------------------------------------------------
+
+namespace detail {
+
+// Callers in turn: a caller with many requests waits behind its own.
+class fair_lane
+{
+public:
+    void push(waiting_request const& request)
+    {
+        for (caller_queue& queue : this->callers)
+            if (queue.caller == request.caller) {
+                queue.waiting.push_back(request);
+                return;
+            }
+        this->callers.push_back({request.caller, {request}});
+    }
+
+    std::optional<waiting_request> pop()
+    {
+        if (this->callers.empty())
+            return std::nullopt;
+        caller_queue turn = this->callers.front();
+        this->callers.pop_front();
+        waiting_request const first = turn.waiting.front();
+        turn.waiting.pop_front();
+        if (!turn.waiting.empty())
+            this->callers.push_back(turn);
+        return first;
+    }
+
+    bool remove(request_key key)
+    {
+        for (caller_queue& queue : this->callers) {
+            auto const removed =
+                std::erase_if(queue.waiting, [key](auto const& one) {
+                    return one.key == key;
+                });
+            if (removed == 0)
+                continue;
+            std::erase_if(this->callers, [](auto const& one) {
+                return one.waiting.empty();
+            });
+            return true;
+        }
+        return false;
+    }
+
+    std::size_t size() const
+    {
+        std::size_t sum = 0;
+        for (caller_queue const& queue : this->callers)
+            sum += queue.waiting.size();
+        return sum;
+    }
+
+    std::optional<time_point> oldest() const
+    {
+        std::optional<time_point> first;
+        for (caller_queue const& queue : this->callers) {
+            time_point const arrived = queue.waiting.front().arrived;
+            first = std::min(first.value_or(arrived), arrived);
+        }
+        return first;
+    }
+
+    duration work() const
+    {
+        duration sum{};
+        for (caller_queue const& queue : this->callers)
+            for (waiting_request const& one : queue.waiting)
+                sum += one.predicted;
+        return sum;
+    }
+
+private:
+    struct caller_queue
+    {
+        caller_id caller = {};
+        std::deque<waiting_request> waiting = {};
+        bool operator==(caller_queue const&) const = default;
+    };
+
+    std::deque<caller_queue> callers = {};
+};
+
+}  // namespace detail
+
+// Long work that has waited this long goes before short work.
+constexpr duration long_work_patience = std::chrono::seconds{2};
+
+class short_first_queue
+{
+public:
+    void push(waiting_request const& request)
+    {
+        (is_short(request) ? this->short_lane : this->long_lane).push(request);
+    }
+
+    std::optional<waiting_request> pop(slot_use const& use, time_point now)
+    {
+        bool const long_is_due = this->long_is_due(now);
+        bool const long_may_run = this->long_may_run(use);
+        if (long_is_due && long_may_run)
+            return this->long_lane.pop();
+        if (this->short_lane.size() > 0)
+            return this->short_lane.pop();
+        if (long_may_run)
+            return this->long_lane.pop();
+        return std::nullopt;
+    }
+
+    bool remove(request_key key)
+    {
+        return this->short_lane.remove(key) || this->long_lane.remove(key);
+    }
+
+    std::size_t size() const
+    {
+        return this->short_lane.size() + this->long_lane.size();
+    }
+
+    duration work_before(waiting_request const& request) const
+    {
+        duration const shorts = this->short_lane.work();
+        return is_short(request) ? shorts : shorts + this->long_lane.work();
+    }
+
+private:
+    bool long_is_due(time_point now) const
+    {
+        std::optional<time_point> const oldest = this->long_lane.oldest();
+        return oldest && now - *oldest > long_work_patience;
+    }
+
+    // The last slot is kept for short work; a target with one slot has none
+    // to keep.
+    bool long_may_run(slot_use const& use) const
+    {
+        return use.slots <= 1 || use.running_long + 1 < use.slots;
+    }
+
+    detail::fair_lane short_lane = {};
+    detail::fair_lane long_lane = {};
+};
+
+static_assert(queue_policy<fifo_queue>);
+static_assert(queue_policy<short_first_queue>);
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/base/values.hpp
@@ -0,0 +1,136 @@
+// Values that every part shares: identifiers, addresses, time, digests.
+//
+// Every type here is an immutable value: it is made whole, compared, copied
+// and replaced, never changed member by member.
+//
+// Index
+//   time          points and spans on one process's own monotonic clock
+//   identifiers   one type for each thing that has a name
+//   addresses     IPv4 address and port of a process
+//   hashing       the one hash function of the project (XXH64)
+#pragma once
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lagoon {
+
+// ---- time ---------------------------------------------------------------
+
+// Tag of the monotonic clock of one process. Points of two processes are
+// never compared; only spans travel between machines.
+struct monotonic_clock
+{
+    using rep = std::int64_t;
+    using period = std::micro;
+    using duration = std::chrono::microseconds;
+    using time_point = std::chrono::time_point<monotonic_clock, duration>;
+    static constexpr bool is_steady = true;
+};
+
+using duration = monotonic_clock::duration;      // microseconds
+using time_point = monotonic_clock::time_point;  // microseconds since boot
+
+// ---- identifiers --------------------------------------------------------
+
+struct service_id
+{
+    std::uint64_t value = 0;  // hash of the service's name
+    auto operator<=>(service_id const&) const = default;
+};
+
+struct target_id
+{
+    std::uint64_t value = 0;  // hash of the target VM's name
+    auto operator<=>(target_id const&) const = default;
+};
+
+struct caller_id
+{
+    std::uint64_t value = 0;  // hash of the caller's name
+    auto operator<=>(caller_id const&) const = default;
+};
+
+struct process_id
+{
+    std::uint64_t value = 0;  // hash of the process's name
+    auto operator<=>(process_id const&) const = default;
+};
+
+struct flow_key
+{
+    std::uint64_t value = 0;  // random, chosen by the caller
+    auto operator<=>(flow_key const&) const = default;
+};
+
+struct request_number
+{
+    std::uint32_t value = 0;  // grows by one within a flow
+    auto operator<=>(request_number const&) const = default;
+};
+
+struct run_id
+{
+    std::uint64_t value = 0;  // one run at the back end of one target
+    auto operator<=>(run_id const&) const = default;
+};
+
+struct generation
+{
+    std::uint64_t value = 0;  // only grows; 0 means no configuration yet
+    auto operator<=>(generation const&) const = default;
+};
+
+struct epoch
+{
+    std::uint64_t value = 0;  // random, new at each start of a process
+    auto operator<=>(epoch const&) const = default;
+};
+
+struct digest
+{
+    std::uint64_t value = 0;  // XXH64 of some content
+    auto operator<=>(digest const&) const = default;
+};
+
+// ---- addresses ----------------------------------------------------------
+
+struct peer_address
+{
+    std::uint32_t ip = 0;    // IPv4, host byte order
+    std::uint16_t port = 0;  // UDP or TCP port, host byte order
+    auto operator<=>(peer_address const&) const = default;
+};
+
+// Renders as "127.0.0.1:9000".
+std::string to_text(peer_address const& address);
+
+// ---- hashing ------------------------------------------------------------
+
+std::uint64_t hash_bytes(std::string_view bytes, std::uint64_t seed = 0);
+std::uint64_t hash_pair(std::uint64_t first, std::uint64_t second);
+
+// Identifiers are hashes of names; lagoon-sheet refuses a sheet in which two
+// names share a hash.
+service_id service_named(std::string_view name);
+target_id target_named(std::string_view name);
+caller_id caller_named(std::string_view name);
+process_id process_named(std::string_view name);
+
+namespace detail {
+
+// std::hash shape for identifiers whose value is already well mixed.
+struct identifier_hash
+{
+    template <class Identifier>
+    std::size_t operator()(Identifier const& id) const noexcept
+    {
+        return static_cast<std::size_t>(id.value);
+    }
+};
+
+}  // namespace detail
+}  // namespace lagoon
--- /dev/null
+++ b/src/catalog/catalog.hpp
@@ -0,0 +1,139 @@
+// The configuration in force: which targets serve which service, and which
+// callers may reach it. Operators publish it; nothing here writes it.
+//
+// Index
+//   records   targets, entries, services, as published
+//   changes   what moves a catalog from one generation to a later one
+//   catalog   the aggregate: adopts only what is newer, answers look-ups
+#pragma once
+
+#include "base/failure.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoon {
+
+// ---- records ------------------------------------------------------------
+
+enum class target_state : std::uint8_t
+{
+    serving,  // takes new flows
+    joining,  // takes new flows at a reduced share until it is warm
+    leaving   // finishes what it owns, takes nothing new
+};
+
+struct target_record
+{
+    target_id id = {};
+    std::string name = {};
+    std::string data_centre = {};
+    peer_address address = {};  // UDP, where entries send packets
+    std::uint32_t slots = 1;    // requests it runs at once
+    target_state state = target_state::serving;
+    auto operator<=>(target_record const&) const = default;
+};
+
+struct entry_record
+{
+    process_id id = {};
+    std::string name = {};
+    std::string data_centre = {};
+    peer_address exchange = {};  // UDP, for digests between peers
+    peer_address control = {};   // TCP, for JSON-RPC
+    auto operator<=>(entry_record const&) const = default;
+};
+
+struct service_part
+{
+    service_id id = {};
+    std::string name = {};
+    generation changed_at = {};           // when this part last changed
+    std::vector<caller_id> callers = {};  // who may open flows, sorted
+    std::vector<target_record> targets = {};
+    auto operator<=>(service_part const&) const = default;
+};
+
+struct fleet_part
+{
+    generation changed_at = {};
+    std::vector<entry_record> entries = {};  // sorted by id
+    auto operator<=>(fleet_part const&) const = default;
+};
+
+digest digest_of(service_part const& part);
+digest digest_of(fleet_part const& part);
+
+// ---- changes ------------------------------------------------------------
+
+// Everything that changed after `base` and up to `to`. With base 0 it is the
+// whole catalog.
+struct catalog_change
+{
+    generation base = {};
+    generation to = {};
+    digest whole = {};  // of the catalog once the change is applied
+    std::vector<service_part> parts = {};
+    std::vector<service_id> removed = {};
+    std::optional<fleet_part> fleet = {};
+    bool operator==(catalog_change const&) const = default;
+};
+
+// A catalog's version. Of two documents that carry one generation by mistake
+// the one with the larger digest wins everywhere.
+struct catalog_version
+{
+    generation number = {};
+    digest content = {};
+    auto operator<=>(catalog_version const&) const = default;
+};
+
+// ---- catalog ------------------------------------------------------------
+
+class catalog
+{
+public:
+    // Adopts a change whose result is a later version than this one.
+    // Leaves the catalog as it was on: stale, conflict (the change doesn't
+    // lead from here to its digest; ask for the whole), malformed.
+    std::optional<catalog_version> adopt(catalog_change const& change,
+                                         failure& last);
+
+    catalog_version version() const;
+
+    service_part const* find_service(service_id id) const;
+    bool permits(service_id service, caller_id caller) const;
+
+    // A target under any service, a leaving one included.
+    target_record const* find_target(target_id id) const;
+    std::optional<peer_address> address_of(target_id id) const;
+    std::optional<target_state> state_of(service_id service,
+                                         target_id id) const;
+    fleet_part const& fleet() const;
+    std::map<service_id, service_part> const& services() const;
+
+    // Everything that changed after `base`, for a peer that is behind.
+    catalog_change changes_since(generation base) const;
+
+private:
+    struct contents
+    {
+        std::map<service_id, service_part> services = {};
+        std::map<service_id, generation> removed = {};  // tombstones
+        fleet_part fleet = {};
+        catalog_version version = {};
+    };
+
+    static contents apply(contents const& from, catalog_change const& change);
+    static digest digest_of_contents(contents const& what);
+    void index_targets();
+
+    contents now = {};
+    std::unordered_map<target_id, target_record, detail::identifier_hash>
+        targets = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/entry/entry.hpp
@@ -0,0 +1,102 @@
+// What an entry decides: which target a packet goes to, through which of its
+// sockets, and which packets it refuses. It holds no state of any flow; all
+// it knows may be lost without a flow noticing.
+//
+// Index
+//   events    what reaches an entry
+//   effects   what the surroundings must do
+//   entry     the role: `on(event, now)`
+#pragma once
+
+#include "channel/channels.hpp"
+#include "flow/ranking.hpp"
+#include "membership/adoption.hpp"
+#include "protocol/messages.hpp"
+
+#include <variant>
+#include <vector>
+
+namespace lagoon {
+
+// ---- events -------------------------------------------------------------
+
+struct caller_packet
+{
+    peer_address from = {};
+    caller_message message = {};
+    bool operator==(caller_packet const&) const = default;
+};
+
+struct target_packet
+{
+    peer_address from = {};
+    outward_packet packet = {};
+    bool operator==(target_packet const&) const = default;
+};
+
+using entry_event =
+    std::variant<caller_packet, target_packet, digest_packet, change_arrived,
+                 change_missed, clock_tick, stop_asked>;
+
+// ---- effects ------------------------------------------------------------
+
+struct send_inward
+{
+    lane by = {};
+    peer_address to = {};
+    inward_packet packet = {};
+    bool operator==(send_inward const&) const = default;
+};
+
+struct send_to_caller
+{
+    peer_address to = {};
+    answer_message message = {};
+    bool operator==(send_to_caller const&) const = default;
+};
+
+using entry_effect =
+    std::variant<send_inward, send_to_caller, send_digest, fetch_from_peer,
+                 read_platform, generation_adopted, note_failure>;
+using entry_effects = std::vector<entry_effect>;
+
+// ---- entry --------------------------------------------------------------
+
+template <random_source R> class entry
+{
+public:
+    entry(membership_settings settings, R random, time_point now);
+
+    entry_effects on(entry_event const& event, time_point now);
+
+    catalog const& configuration() const;
+    bool is_ready(time_point now) const;
+
+private:
+    entry_effects on_event(caller_packet const& event, time_point now);
+    entry_effects on_event(target_packet const& event, time_point now);
+    entry_effects on_event(digest_packet const& event, time_point now);
+    entry_effects on_event(change_arrived const& event, time_point now);
+    entry_effects on_event(change_missed const& event, time_point now);
+    entry_effects on_event(clock_tick const& event, time_point now);
+    entry_effects on_event(stop_asked const& event, time_point now);
+
+    entry_effects route_open(peer_address from, open_request const& open,
+                             time_point now);
+    entry_effects route_by_token(peer_address from, flow_token const& token,
+                                 caller_message const& message, time_point now);
+    std::optional<target_record> choose(service_part const& part,
+                                        open_request const& open,
+                                        time_point now) const;
+    bool may_leave(open_request const& open, time_point now,
+                   failure& last) const;
+
+    catalog known = {};
+    channel_table channels = {};
+    membership<R> member;
+    bool stopping = false;
+};
+
+}  // namespace lagoon
+
+#include "entry/entry.ipp"
--- /dev/null
+++ b/src/entry/entry.ipp
@@ -0,0 +1,208 @@
+// Bodies of the templates that entry.hpp declares.
+#pragma once
+
+namespace lagoon {
+
+namespace detail {
+
+// How often a caller repeats an open before the next target is tried.
+constexpr std::uint8_t opens_per_target = 2;
+
+inline failure route_failure(reason why, peer_address peer, std::string detail)
+{
+    return {step::route_packet, why, peer, std::move(detail)};
+}
+
+// Whether a target answers such a packet, so that silence means something.
+inline bool expects_answer(caller_message const& message)
+{
+    return !std::holds_alternative<acknowledge_answer>(message) &&
+           !std::holds_alternative<close_flow>(message) &&
+           !std::holds_alternative<cancel_request>(message);
+}
+
+}  // namespace detail
+
+template <random_source R>
+entry<R>::entry(membership_settings settings, R random, time_point now)
+    : member(std::move(settings), std::move(random), now)
+{
+}
+
+template <random_source R>
+entry_effects entry<R>::on(entry_event const& event, time_point now)
+{
+    return std::visit(
+        [this, now](auto const& one) {
+            return this->on_event(one, now);
+        },
+        event);
+}
+
+template <random_source R> catalog const& entry<R>::configuration() const
+{
+    return this->known;
+}
+
+template <random_source R> bool entry<R>::is_ready(time_point now) const
+{
+    return !this->stopping && this->member.is_ready(this->known, now);
+}
+
+// ---- packets of callers -------------------------------------------------
+
+template <random_source R>
+entry_effects entry<R>::on_event(caller_packet const& event, time_point now)
+{
+    open_request const* open = std::get_if<open_request>(&event.message);
+    if (open != nullptr)
+        return this->route_open(event.from, *open, now);
+    flow_token const token = std::visit(
+        [](auto const& message) {
+            if constexpr (requires { message.token; })
+                return message.token;
+            else
+                return flow_token{};
+        },
+        event.message);
+    return this->route_by_token(event.from, token, event.message, now);
+}
+
+// Whether the open may go on to a target. Not ready: it is dropped, since
+// the caller repeats it and another entry may know more.
+template <random_source R>
+bool entry<R>::may_leave(open_request const& open, time_point now,
+                         failure& last) const
+{
+    if (!this->is_ready(now)) {
+        last = {step::open_flow, reason::stale, {}, "not ready for new flows"};
+        return false;
+    }
+    if (this->known.find_service(open.service) == nullptr) {
+        last = {step::open_flow, reason::unknown_name, {}, "no such service"};
+        return false;
+    }
+    if (!this->known.permits(open.service, open.caller)) {
+        last = {step::open_flow,
+                reason::not_permitted,
+                {},
+                "caller may not reach the service"};
+        return false;
+    }
+    return true;
+}
+
+template <random_source R>
+std::optional<target_record> entry<R>::choose(service_part const& part,
+                                              open_request const& open,
+                                              time_point now) const
+{
+    std::vector<target_record> const ranked = rank_targets(part, open.flow);
+    if (ranked.empty())
+        return std::nullopt;
+    std::size_t const first = open.attempt / detail::opens_per_target;
+    for (std::size_t i = 0; i < ranked.size(); ++i) {
+        target_record const& one = ranked[(first + i) % ranked.size()];
+        if (!this->channels.is_silent(one.address, now))
+            return one;
+    }
+    return ranked[first % ranked.size()];
+}
+
+template <random_source R>
+entry_effects entry<R>::route_open(peer_address from, open_request const& open,
+                                   time_point now)
+{
+    failure last;
+    if (!this->may_leave(open, now, last)) {
+        failure const noted{last.at, last.why, from, last.detail};
+        if (last.why == reason::stale)
+            return {note_failure{noted}};
+        return {note_failure{noted},
+                send_to_caller{from, open_refusal{open.service, open.flow,
+                                                  last.why, duration{}}}};
+    }
+    service_part const& part = *this->known.find_service(open.service);
+    bool const goes_on =
+        open.previous && open.attempt < detail::opens_per_target;
+    if (goes_on && this->known.address_of(open.previous->target))
+        return this->route_by_token(from, *open.previous, caller_message{open},
+                                    now);
+    std::optional<target_record> const target = this->choose(part, open, now);
+    if (!target)
+        return {note_failure{detail::route_failure(
+            reason::unreachable, from, "service has no serving target")}};
+    lane const by = this->channels.send_to(target->address, now);
+    return {send_inward{by, target->address,
+                        inward_packet{from, {}, {}, caller_message{open}}}};
+}
+
+// A packet with a token goes to the target that the token names, also when
+// that target leaves its service. In doubt it is dropped, never answered:
+// the caller repeats it, and another entry may know the target.
+template <random_source R>
+entry_effects
+entry<R>::route_by_token(peer_address from, flow_token const& token,
+                         caller_message const& message, time_point now)
+{
+    std::optional<peer_address> const to = this->known.address_of(token.target);
+    if (!to)
+        return {note_failure{detail::route_failure(
+            reason::unknown_name, from, "target of the token is not known")}};
+    lane const by = detail::expects_answer(message)
+                        ? this->channels.send_to(*to, now)
+                        : this->channels.current(*to);
+    return {send_inward{by, *to, inward_packet{from, {}, {}, message}}};
+}
+
+// ---- packets of targets and peers ---------------------------------------
+
+template <random_source R>
+entry_effects entry<R>::on_event(target_packet const& event, time_point)
+{
+    this->channels.heard_from(event.from);
+    if (event.packet.handed_by != peer_address{})
+        this->channels.heard_from(event.packet.handed_by);
+    return {send_to_caller{event.packet.caller, event.packet.message}};
+}
+
+template <random_source R>
+entry_effects entry<R>::on_event(digest_packet const& event, time_point now)
+{
+    entry_effects effects;
+    detail::append(
+        effects, this->member.heard(event.from, event.what, this->known, now));
+    return effects;
+}
+
+template <random_source R>
+entry_effects entry<R>::on_event(change_arrived const& event, time_point now)
+{
+    entry_effects effects;
+    take_change(effects, this->known, this->member, event, now);
+    return effects;
+}
+
+template <random_source R>
+entry_effects entry<R>::on_event(change_missed const& event, time_point now)
+{
+    this->member.unanswered(event.source, now);
+    return {note_failure{event.why}};
+}
+
+template <random_source R>
+entry_effects entry<R>::on_event(clock_tick const&, time_point now)
+{
+    entry_effects effects;
+    detail::append(effects, this->member.tick(this->known, now));
+    return effects;
+}
+
+template <random_source R>
+entry_effects entry<R>::on_event(stop_asked const&, time_point)
+{
+    this->stopping = true;
+    return {};
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/flow/table.cpp
@@ -0,0 +1,105 @@
+#include "flow/table.hpp"
+
+#include <algorithm>
+
+namespace lagoon {
+
+namespace {
+
+constexpr std::size_t sweep_buckets = 512;  // buckets looked at in one sweep
+
+}  // namespace
+
+flow_table::flow_table(flow_limits limits) : limits(limits) {}
+
+std::optional<flow_record> flow_table::open(flow_key key, service_id service,
+                                            caller_id caller, time_point now,
+                                            failure& last)
+{
+    auto const found = this->flows.find(key);
+    if (found != this->flows.end()) {
+        flow_record const& known = found->second;
+        if (known.service == service && known.caller == caller)
+            return known;
+        return fail(last, {step::open_flow,
+                           reason::duplicate,
+                           {},
+                           "flow key is in use by another caller"});
+    }
+    if (this->flows.size() >= this->limits.most)
+        return fail(
+            last,
+            {step::open_flow, reason::overloaded, {}, "flow table is full"});
+    // Two flows never share an issue time, so a token of a closed flow can't
+    // stand for one that a late copy of its open packet makes.
+    this->last_issued =
+        std::max(this->last_issued + 1, now.time_since_epoch().count());
+    flow_record const opened{service, caller, this->last_issued, now, {}, 0};
+    this->flows.emplace(key, opened);
+    return opened;
+}
+
+std::optional<flow_record> flow_table::use(flow_token const& token,
+                                           time_point now, failure& last)
+{
+    auto const found = this->flows.find(token.flow);
+    if (found == this->flows.end() || found->second.issued != token.issued ||
+        found->second.service != token.service)
+        return fail(
+            last, {step::verify_token, reason::expired, {}, "flow is closed"});
+    found->second.last_used = now;
+    return found->second;
+}
+
+std::optional<flow_record> flow_table::find(flow_key key) const
+{
+    auto const found = this->flows.find(key);
+    if (found == this->flows.end())
+        return std::nullopt;
+    return found->second;
+}
+
+void flow_table::replace(flow_key key, flow_record const& record)
+{
+    auto const found = this->flows.find(key);
+    if (found != this->flows.end())
+        found->second = record;
+}
+
+void flow_table::close(flow_key key)
+{
+    this->flows.erase(key);
+}
+
+bool flow_table::is_expired(flow_record const& record, time_point now) const
+{
+    if (record.unsettled > 0)
+        return false;
+    bool const unused = record.floor == request_number{};
+    duration const lifetime =
+        unused ? this->limits.unused_lifetime : this->limits.idle_lifetime;
+    return now - record.last_used > lifetime;
+}
+
+std::vector<flow_key> flow_table::sweep(time_point now)
+{
+    std::size_t const buckets = this->flows.bucket_count();
+    std::vector<flow_key> expired;
+    for (std::size_t i = 0; i < std::min(sweep_buckets, buckets); ++i) {
+        this->next_bucket = (this->next_bucket + 1) % buckets;
+        for (auto it = this->flows.begin(this->next_bucket);
+             it != this->flows.end(this->next_bucket); ++it)
+            if (this->is_expired(it->second, now))
+                expired.push_back(it->first);
+    }
+    for (flow_key const key : expired)
+        this->flows.erase(key);
+    return expired;
+}
+
+std::size_t flow_table::size() const
+{
+    return this->flows.size();
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/membership/membership.hpp
@@ -0,0 +1,148 @@
+// How a process learns the configuration and when it may act on it: digests
+// exchanged with peers, changes pulled from whoever is ahead, the platform
+// read by a few. Nothing here writes anything shared.
+//
+// Model: models/generations.pml; the functions name its steps.
+//
+// Index
+//   settings     who this process is and whom it asks first
+//   effects      what the surroundings must do
+//   membership   the aggregate
+#pragma once
+
+#include "base/random.hpp"
+#include "catalog/catalog.hpp"
+#include "membership/readers.hpp"
+#include "protocol/messages.hpp"
+
+#include <algorithm>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace lagoon {
+
+// ---- settings -----------------------------------------------------------
+
+struct membership_settings
+{
+    process_id self = {};
+    std::string data_centre = {};
+    peer_address exchange = {};            // this process's own
+    peer_address control = {};             // this process's own
+    std::vector<peer_address> seeds = {};  // peers to ask before any catalog
+    auto operator<=>(membership_settings const&) const = default;
+};
+
+constexpr duration exchange_interval = std::chrono::seconds{1};
+constexpr std::size_t news_fan_out = 4;  // peers told at once of news
+constexpr duration fetch_timeout = std::chrono::seconds{1};
+constexpr duration watch_lifetime = std::chrono::seconds{2};  // one watch
+constexpr duration read_timeout = std::chrono::seconds{2};    // one read
+
+// A gap between two ticks that shows that the process was paused.
+constexpr duration pause_gap = std::chrono::seconds{2};
+
+// A process that knows peers asks them first, and the platform later.
+constexpr duration first_read_delay = std::chrono::seconds{1};
+
+// How long a process that starts or was paused waits at most for news before
+// it takes new flows with what it has.
+constexpr duration news_wait = std::chrono::seconds{2};
+
+constexpr duration no_platform_contact = std::chrono::hours{24};
+
+// ---- effects ------------------------------------------------------------
+
+struct send_digest
+{
+    peer_address to = {};
+    peer_digest what = {};
+    auto operator<=>(send_digest const&) const = default;
+};
+
+struct fetch_from_peer
+{
+    peer_address control = {};
+    generation since = {};  // 0 fetches the whole catalog
+    auto operator<=>(fetch_from_peer const&) const = default;
+};
+
+struct read_platform
+{
+    generation since = {};
+    bool watch = false;      // wait for a later generation
+    duration lifetime = {};  // of the watch, or the timeout of the read
+    auto operator<=>(read_platform const&) const = default;
+};
+
+using membership_effect =
+    std::variant<send_digest, fetch_from_peer, read_platform>;
+using membership_effects = std::vector<membership_effect>;
+
+// Where a change came from.
+enum class change_source : std::uint8_t
+{
+    platform,
+    peer
+};
+
+// ---- membership ---------------------------------------------------------
+
+template <random_source R> class membership
+{
+public:
+    membership(membership_settings settings, R random, time_point now);
+
+    // Model step `compare`: a peer's digest arrived.
+    membership_effects heard(peer_address from, peer_digest const& what,
+                             catalog const& known, time_point now);
+
+    // The answer to a fetch or a read arrived and the catalog took it in, or
+    // had nothing to gain from it. On a change the news is passed on.
+    membership_effects answered(change_source source, bool changed,
+                                catalog const& known, time_point now);
+
+    // A fetched change didn't lead to its digest: ask for the whole.
+    membership_effects conflicted(peer_address control, time_point now);
+
+    // A fetch or a read failed or timed out.
+    void unanswered(change_source source, time_point now);
+
+    membership_effects tick(catalog const& known, time_point now);
+
+    // Model step `may_open`: whether new flows may be taken.
+    bool is_ready(catalog const& known, time_point now) const;
+
+    // How old the freshest contact with the platform is, as far as known.
+    duration platform_age(time_point now) const;
+
+private:
+    peer_digest own_digest(catalog const& known, bool reply_wanted,
+                           time_point now) const;
+    std::optional<peer_address> pick_peer(catalog const& known);
+    void greet(membership_effects& effects, catalog const& known,
+               std::size_t peers, bool reply_wanted, time_point now);
+    void read_if_due(membership_effects& effects, catalog const& known,
+                     time_point now);
+    void begin_wait(time_point now);
+    bool has_compared(time_point now) const;
+
+    membership_settings settings;
+    R random;
+    time_point last_tick;
+    time_point next_exchange;
+    time_point platform_contact;  // estimated, own clock
+    std::optional<time_point> fetching_since = {};
+    std::optional<time_point> reading_since = {};
+    bool watching = false;
+    time_point next_read;
+    time_point waiting_since = {};   // start or end of a pause
+    bool peer_compared = false;      // since then
+    bool platform_compared = false;  // since then
+    catalog_version highest_heard = {};
+};
+
+}  // namespace lagoon
+
+#include "membership/membership.ipp"
--- /dev/null
+++ b/src/membership/readers.hpp
@@ -0,0 +1,43 @@
+// Who reads the platform, decided by each process alone. The platform's call
+// rate is for the whole fleet, so a few processes of a data centre watch and
+// the rest learn from peers.
+//
+// Index
+//   reading_plan   what a process of some rank does
+//   reader_rank    a process's rank within its data centre
+#pragma once
+
+#include "catalog/catalog.hpp"
+
+#include <cstddef>
+
+namespace lagoon {
+
+// ---- reading_plan -------------------------------------------------------
+
+constexpr std::size_t watchers_per_data_centre = 3;
+
+// A process that doesn't watch reads once its news of the platform is older
+// than this; of rank r it then reads at most every (r + 1) seconds. The sum
+// over a data centre of n processes stays below ln(n) + 1 reads a second,
+// however long the watchers are gone.
+constexpr duration platform_news_lifetime = std::chrono::seconds{20};
+constexpr duration reading_step = std::chrono::seconds{1};
+
+struct reading_plan
+{
+    bool watches = false;    // holds a waiting watch all the time
+    duration interval = {};  // least time between two reads otherwise
+    auto operator<=>(reading_plan const&) const = default;
+};
+
+reading_plan plan_for_rank(std::size_t rank);
+
+// ---- reader_rank --------------------------------------------------------
+
+// The place of `self` among the entries of its data centre; a process that
+// isn't in the fleet (yet), or a target, ranks behind all of them.
+std::size_t reader_rank(fleet_part const& fleet, process_id self,
+                        std::string const& data_centre);
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/request/answers.hpp
@@ -0,0 +1,62 @@
+// Answers that a target holds until their callers have them whole.
+//
+// Index
+//   answer_size    what is known of an answer's length
+//   answer_store   the aggregate: appends, slices and discards within a bound
+#pragma once
+
+#include "request/ledger.hpp"
+
+#include <cstddef>
+#include <string>
+#include <unordered_map>
+
+namespace lagoon {
+
+// ---- answer_size --------------------------------------------------------
+
+struct answer_size
+{
+    std::uint64_t length = 0;  // bytes
+    digest content = {};       // of those bytes
+    auto operator<=>(answer_size const&) const = default;
+};
+
+// ---- answer_store -------------------------------------------------------
+
+class answer_store
+{
+public:
+    explicit answer_store(std::size_t most);
+
+    void append(request_key key, std::string_view bytes);
+
+    // The answer is whole: its digest is worked out once.
+    void seal(request_key key);
+
+    // At most segment_size bytes from `offset`, fewer at the end.
+    std::string slice(request_key key, std::uint64_t offset) const;
+
+    std::uint64_t length(request_key key) const;
+    answer_size measure(request_key key) const;  // of a sealed answer
+    void discard(request_key key);
+
+    // Whether the bound is reached, so that no further run should start.
+    bool is_full() const;
+    std::size_t held() const;
+
+private:
+    struct held_answer
+    {
+        std::string bytes = {};
+        digest content = {};
+        auto operator<=>(held_answer const&) const = default;
+    };
+
+    std::size_t most;       // bytes
+    std::size_t total = 0;  // bytes
+    std::unordered_map<request_key, held_answer, detail::request_key_hash>
+        answers = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/request/ledger.hpp
@@ -0,0 +1,123 @@
+// The run ledger of one target: for every request, whether it waits, runs,
+// has run, or never will. It alone decides whether a request may start, and
+// it alone may say `not run`. Compare RIFL (SOSP 2015).
+//
+// Model: models/at_most_once.pml; the functions name its steps.
+//
+// Index
+//   request_key      a request within a flow
+//   request_record   what the ledger knows of it
+//   request_ledger   the aggregate: the transitions, and no others
+#pragma once
+
+#include "base/failure.hpp"
+#include "protocol/messages.hpp"
+
+#include <optional>
+#include <unordered_map>
+#include <vector>
+
+namespace lagoon {
+
+// ---- request_key --------------------------------------------------------
+
+struct request_key
+{
+    flow_key flow = {};
+    request_number number = {};
+    auto operator<=>(request_key const&) const = default;
+};
+
+namespace detail {
+
+struct request_key_hash
+{
+    std::size_t operator()(request_key const& key) const noexcept
+    {
+        return static_cast<std::size_t>(
+            hash_pair(key.flow.value, key.number.value));
+    }
+};
+
+}  // namespace detail
+
+// ---- request_record -----------------------------------------------------
+
+// Where the newest packet about a request came from.
+struct return_path
+{
+    peer_address entry = {};
+    peer_address caller = {};
+    auto operator<=>(return_path const&) const = default;
+};
+
+struct request_record
+{
+    service_id service = {};
+    caller_id caller = {};
+    bool idempotent = false;
+    duration declared = {};
+    std::string path = {};
+    std::string body = {};
+    time_point arrived = {};
+    std::optional<time_point> deadline = {};
+    request_state state = request_state::queued;
+    reason why = reason::none;
+    duration retry_after = {};
+    run_id run = {};
+    time_point started = {};
+    time_point last_asked = {};
+    return_path back = {};
+    std::uint64_t wanted_end = 0;  // bytes the caller has asked for so far
+    auto operator<=>(request_record const&) const = default;
+};
+
+// ---- request_ledger -----------------------------------------------------
+
+class request_ledger
+{
+public:
+    // Model step `accept`. Writes a queued record unless the ledger knows the
+    // request; then its record stands, whatever its state.
+    request_record const& accept(request_key key, request_record const& fresh);
+
+    // Model step `start`: queued to running. Empty in any other state, so a
+    // refused or finished request can't run again.
+    std::optional<request_record> start(request_key key, run_id run,
+                                        time_point now);
+
+    // Model step `refuse`: queued, or a start that provably did nothing, to
+    // not_run. The refusal stops every later copy. Empty in other states.
+    std::optional<request_record> refuse(request_key key, reason why,
+                                         duration retry_after);
+    std::optional<request_record> undo_start(request_key key, reason why,
+                                             duration retry_after);
+
+    // Model step `finish`: running to finished, or to unknown when the back
+    // end's answer was lost.
+    std::optional<request_record> finish(request_key key);
+    std::optional<request_record> lose(request_key key, reason why);
+
+    // Remembers what the caller asked for and where to send it.
+    void ask(request_key key, return_path const& back, std::uint64_t wanted_end,
+             time_point now);
+
+    request_record const* find(request_key key) const;
+    void forget(request_key key);
+
+    // Queued requests whose deadline has passed.
+    std::vector<request_key> overdue(time_point now) const;
+
+    // Settled requests that nobody asked about for `lifetime`.
+    std::vector<request_key> abandoned(time_point now, duration lifetime) const;
+    std::size_t size() const;
+
+private:
+    std::optional<request_record> move(request_key key, request_state from,
+                                       request_record const& to);
+
+    std::unordered_map<request_key, request_record, detail::request_key_hash>
+        records = {};
+};
+
+}  // namespace lagoon
