--- /dev/null
+++ b/scripts/fleet.sh
@@ -0,0 +1,154 @@
+# Functions to run a small fleet on loopback; sourced by the demo, the process
+# tests and the benchmarks. Each run has a loopback address of its own, so
+# that two runs never meet.
+#
+#   fleet_begin SHEET [FABRIC OPTIONS]   start all processes, wait for ready
+#   fleet_end                            stop everything that was started
+#   fleet_call ARGUMENTS                 lagoon-call through the fabric
+#
+# Variables: BUILD (the build folder), FLEET_DIR, FLEET_IP; PID_<name> holds
+# the process id of each process, with '-' as '_'.
+
+BUILD=${BUILD:-build}
+
+fleet_note() {
+  echo "fleet: $*" >&2
+}
+
+# Picks 127.a.b.c where nothing answers at the platform's port.
+fleet_pick_ip() {
+  local try
+  for try in 1 2 3 4 5 6 7 8 9 10; do
+    FLEET_IP=127.$((RANDOM % 200 + 10)).$((RANDOM % 250 + 1)).$((RANDOM % 250 + 1))
+    if ! (exec 3<>"/dev/tcp/$FLEET_IP/8000") 2>/dev/null; then
+      return 0
+    fi
+  done
+  return 1
+}
+
+# fleet_start NAME COMMAND...: runs it in the background, keeps its id.
+fleet_start() {
+  local name=$1
+  shift
+  "$@" >"$FLEET_DIR/$name.out" 2>"$FLEET_DIR/$name.log" &
+  local pid=$!
+  printf -v "PID_${name//-/_}" '%s' "$pid"
+  FLEET_PIDS="$FLEET_PIDS $pid"
+}
+
+fleet_pid() {
+  local name=PID_${1//-/_}
+  echo "${!name-}"
+}
+
+# Settings of each process, from the rows of the sheet.
+fleet_write_settings() {
+  local kind service name place address control slots state
+  local seeds="\"$FLEET_IP:6301\", \"$FLEET_IP:6302\""
+  while IFS=, read -r kind service name place address control slots state; do
+    case $kind in
+    entry)
+      cat >"$FLEET_DIR/$name.json" <<JSON
+// settings of $name
+{
+  "name": "$name", "data_centre": "$place",
+  "callers": "${address/:61/:60}", // packets of callers
+  "exchange": "$address", "control": "$control",
+  "platform": "$FLEET_IP:8000", "seeds": [], "log_level": "info"
+}
+JSON
+      ;;
+    target)
+      cat >"$FLEET_DIR/$name.json" <<JSON
+// settings of $name
+{
+  "name": "$name", "data_centre": "$place",
+  "packets": "$address", "control": "$control",
+  "back_end": "${address/:71/:81}", "slots": $slots,
+  "platform": "$FLEET_IP:8000", "seeds": ["$FLEET_IP:6101", "$FLEET_IP:6102"],
+  "log_level": "info"
+}
+JSON
+      ;;
+    esac
+  done <"$FLEET_DIR/sheet.csv"
+}
+
+fleet_start_entry() {
+  fleet_start "$1" "$BUILD/lagoon-entry" --settings "$FLEET_DIR/$1.json"
+}
+
+fleet_start_target() {
+  fleet_start "$1" "$BUILD/lagoon-target" --settings "$FLEET_DIR/$1.json"
+}
+
+fleet_start_all() {
+  local kind service name place address control slots state
+  while IFS=, read -r kind service name place address control slots state; do
+    case $kind in
+    entry) fleet_start_entry "$name" ;;
+    target)
+      [ -n "$(fleet_pid "$name")" ] && continue
+      fleet_start "back-$name" "$BUILD/stand-in-back_end" \
+        --listen "${address/:71/:81}" --slots "$slots"
+      fleet_start_target "$name"
+      ;;
+    esac
+  done <"$FLEET_DIR/sheet.csv"
+}
+
+fleet_entries() {
+  awk -F, '$1 == "entry" { sub(":61", ":60", $5); printf "%s%s", s, $5; s = "," }' \
+    "$FLEET_DIR/sheet.csv"
+}
+
+fleet_publish() {
+  "$BUILD/lagoon-sheet" compile --sheet "$FLEET_DIR/sheet.csv" \
+    --documents "$FLEET_DIR/documents"
+}
+
+fleet_wait() {
+  "$BUILD/lagoon-sheet" wait --documents "$FLEET_DIR/documents" --timeout-s "${1:-15}"
+}
+
+fleet_begin() {
+  local sheet=$1
+  shift
+  FLEET_DIR=$(mktemp -d)
+  FLEET_PIDS=
+  fleet_pick_ip || return 1
+  sed "s/127\.0\.0\.1/$FLEET_IP/g" "$sheet" >"$FLEET_DIR/sheet.csv"
+  fleet_write_settings
+  fleet_publish >&2 || return 1
+  fleet_start platform "$BUILD/stand-in-platform" --listen "$FLEET_IP:8000" \
+    --folder "$FLEET_DIR/documents"
+  fleet_start fabric "$BUILD/stand-in-fabric" --listen "$FLEET_IP:6000" \
+    --entries "$(fleet_entries)" "$@"
+  fleet_start_all
+  fleet_wait >&2
+}
+
+fleet_call() {
+  "$BUILD/lagoon-call" --to "$FLEET_IP:6000" --from "$FLEET_IP:1" "$@"
+}
+
+fleet_status() {
+  "$BUILD/lagoon-sheet" status --documents "$FLEET_DIR/documents"
+}
+
+fleet_end() {
+  local pid
+  for pid in $FLEET_PIDS; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null
+  done
+  for pid in $FLEET_PIDS; do
+    kill -KILL "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null
+  done
+  FLEET_PIDS=
+  [ -n "$FLEET_DIR" ] && rm -rf "$FLEET_DIR"
+  return 0
+}
--- /dev/null
+++ b/src/base/entropy.hpp
@@ -0,0 +1,33 @@
+// The system's entropy, for epochs, keys and seeds.
+//
+// Index
+//   random_word    64 bits
+//   random_bytes   an array of bytes
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <sodium.h>
+
+namespace lagoon {
+
+// ---- random_word --------------------------------------------------------
+
+inline std::uint64_t random_word()
+{
+    std::uint64_t word = 0;
+    randombytes_buf(&word, sizeof word);
+    return word;
+}
+
+// ---- random_bytes -------------------------------------------------------
+
+template <std::size_t Size> std::array<std::uint8_t, Size> random_bytes()
+{
+    std::array<std::uint8_t, Size> bytes{};
+    randombytes_buf(bytes.data(), bytes.size());
+    return bytes;
+}
+
+}  // namespace lagoon
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -24,6 +24,7 @@
     seed = hash_text(seed, target.name);
     seed = hash_text(seed, target.data_centre);
     seed = hash_address(seed, target.address);
+    seed = hash_address(seed, target.control);
     seed = hash_pair(target.slots, seed);
     return hash_pair(static_cast<std::uint64_t>(target.state), seed);
 }
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -32,6 +32,7 @@
     std::string name = {};
     std::string data_centre = {};
     peer_address address = {};  // UDP, where entries send packets
+    peer_address control = {};  // TCP, for JSON-RPC
     std::uint32_t slots = 1;    // requests it runs at once
     target_state state = target_state::serving;
     auto operator<=>(target_record const&) const = default;
--- /dev/null
+++ b/src/control/rpc.cpp
@@ -0,0 +1,158 @@
+#include "control/rpc.hpp"
+
+#include <jsonrpccpp/client/batchcall.h>
+#include <jsonrpccpp/server.h>
+
+namespace lagoon {
+
+namespace {
+
+// ---- texts --------------------------------------------------------------
+
+std::string render(Json::Value const& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+bool parse(std::string const& text, Json::Value& value)
+{
+    Json::CharReaderBuilder builder;
+    std::unique_ptr<Json::CharReader> const reader(builder.newCharReader());
+    std::string errors;
+    try {
+        return reader->parse(text.data(), text.data() + text.size(), &value,
+                             &errors);
+    } catch (Json::Exception const&) {
+        return false;
+    }
+}
+
+// ---- server -------------------------------------------------------------
+
+// Keeps the response instead of sending it: the event loop does that.
+class text_connector : public jsonrpc::AbstractServerConnector
+{
+public:
+    bool StartListening() override
+    {
+        return true;
+    }
+
+    bool StopListening() override
+    {
+        return true;
+    }
+
+    bool SendResponse(std::string const& response, void* slot) override
+    {
+        *static_cast<std::string*>(slot) = response;
+        return true;
+    }
+};
+
+class method_server : public jsonrpc::AbstractServer<method_server>
+{
+public:
+    method_server(jsonrpc::AbstractServerConnector& connector,
+                  rpc_methods const& methods)
+        : AbstractServer(connector), methods(methods)
+    {
+        this->bindAndAddMethod(jsonrpc::Procedure("status",
+                                                  jsonrpc::PARAMS_BY_NAME,
+                                                  jsonrpc::JSON_OBJECT, NULL),
+                               &method_server::status);
+        this->bindAndAddMethod(
+            jsonrpc::Procedure("changes_since", jsonrpc::PARAMS_BY_NAME,
+                               jsonrpc::JSON_OBJECT, "generation",
+                               jsonrpc::JSON_INTEGER, NULL),
+            &method_server::changes_since);
+    }
+
+    void status(Json::Value const&, Json::Value& result)
+    {
+        parse(this->methods.status(this->methods.context), result);
+    }
+
+    void changes_since(Json::Value const& input, Json::Value& result)
+    {
+        Json::Value const& generation = input["generation"];
+        unsigned long long const since =
+            generation.isUInt64() ? generation.asUInt64() : 0;
+        parse(this->methods.changes_since(this->methods.context, since),
+              result);
+    }
+
+private:
+    rpc_methods methods;
+};
+
+// ---- client -------------------------------------------------------------
+
+// A batch of one call is a list; the plain call is its only item.
+std::string only_call(jsonrpc::BatchCall const& batch)
+{
+    Json::Value calls;
+    parse(batch.toString(), calls);
+    return render(calls[0]);
+}
+
+}  // namespace
+
+// ---- rpc_server ---------------------------------------------------------
+
+struct rpc_server::parts
+{
+    explicit parts(rpc_methods const& methods) : server(connector, methods) {}
+
+    text_connector connector;
+    method_server server;
+};
+
+rpc_server::rpc_server(rpc_methods const& methods) : inside(new parts(methods))
+{
+}
+
+rpc_server::~rpc_server() = default;
+
+std::string rpc_server::answer(std::string const& request)
+{
+    std::string response;
+    this->inside->connector.OnRequest(request, &response);
+    return response;
+}
+
+// ---- rpc_request --------------------------------------------------------
+
+std::string rpc_status_request()
+{
+    jsonrpc::BatchCall batch;
+    batch.addCall("status", Json::Value(Json::objectValue));
+    return only_call(batch);
+}
+
+std::string rpc_changes_request(unsigned long long generation)
+{
+    Json::Value parameters(Json::objectValue);
+    parameters["generation"] = Json::Value::UInt64(generation);
+    jsonrpc::BatchCall batch;
+    batch.addCall("changes_since", parameters);
+    return only_call(batch);
+}
+
+// ---- rpc_response -------------------------------------------------------
+
+rpc_response rpc_parse_response(std::string const& text)
+{
+    Json::Value value;
+    if (!parse(text, value) || !value.isObject())
+        return {false, "", "response is not JSON"};
+    if (value.isMember("error") && !value["error"].isNull())
+        return {false, "", render(value["error"])};
+    if (!value.isMember("result"))
+        return {false, "", "response has no result"};
+    return {true, render(value["result"]), ""};
+}
+
+}  // namespace lagoon
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -71,6 +71,7 @@
 
     catalog const& configuration() const;
     bool is_ready(time_point now) const;
+    duration platform_age(time_point now) const;
 
 private:
     entry_effects on_event(caller_packet const& event, time_point now);
--- a/src/entry/entry.ipp
+++ b/src/entry/entry.ipp
@@ -49,6 +49,11 @@
     return !this->stopping && this->member.is_ready(this->known, now);
 }
 
+template <random_source R> duration entry<R>::platform_age(time_point now) const
+{
+    return this->member.platform_age(now);
+}
+
 // ---- packets of callers -------------------------------------------------
 
 template <random_source R>
--- /dev/null
+++ b/src/loop/event_loop.ipp
@@ -0,0 +1,456 @@
+// Bodies of the templates that event_loop.hpp declares.
+#pragma once
+
+#include <netinet/in.h>
+
+namespace lagoon {
+
+namespace detail {
+
+constexpr std::size_t service_buffer = 64 * 1024;  // bytes read at once
+constexpr std::size_t reply_chunk = 32 * 1024;     // bytes written at once
+constexpr std::size_t head_size = 1024;            // bytes of a reply's head
+constexpr int datagrams_per_wakeup = 64;
+constexpr unsigned most_descriptors = 2048;
+constexpr std::size_t largest_request = 4U << 20U;  // bytes of a body
+
+inline std::string ip_text(peer_address address)
+{
+    std::string const whole = to_text(address);
+    return whole.substr(0, whole.find(':'));
+}
+
+inline peer_address sender_of(lws* wsi)
+{
+    lws_udp const* udp = lws_get_udp(wsi);
+    sockaddr_in raw{};
+    std::memcpy(&raw, &udp->sa, sizeof raw);
+    return {ntohl(raw.sin_addr.s_addr), ntohs(raw.sin_port)};
+}
+
+inline std::string header_text(lws* wsi, lws_token_indexes which)
+{
+    int const length = lws_hdr_total_length(wsi, which);
+    if (length <= 0)
+        return {};
+    std::string text(static_cast<std::size_t>(length) + 1, '\0');
+    lws_hdr_copy(wsi, text.data(), length + 1, which);
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
+// The fields of a request's query, joined by '&' as they came.
+inline std::string query_text(lws* wsi)
+{
+    std::string text;
+    std::array<char, 512> field{};
+    for (int i = 0;; ++i) {
+        int const size = lws_hdr_copy_fragment(wsi, field.data(), field.size(),
+                                               WSI_TOKEN_HTTP_URI_ARGS, i);
+        if (size < 0)
+            return text;
+        text.append(field.data(), static_cast<std::size_t>(size));
+        text += '&';
+    }
+}
+
+}  // namespace detail
+
+// ---- life ---------------------------------------------------------------
+
+template <class P>
+event_loop<P>::event_loop(P& program, loop_settings settings)
+    : program(program), settings(settings),
+      listen_ip(detail::ip_text(settings.listen))
+{
+    // Checked here: a program holds its loop, so it's incomplete before.
+    static_assert(loop_program<P>);
+    lws_set_log_level(0, nullptr);
+    this->protocols = {{"http", &event_loop::on_server, 0, 0, 0, nullptr, 0},
+                       {"udp", &event_loop::on_udp, 0, 0, 0, nullptr, 0},
+                       {"client", &event_loop::on_client, 0, 0, 0, nullptr, 0},
+                       {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
+    lws_context_creation_info info{};
+    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    info.user = this;
+    info.pt_serv_buf_size = detail::service_buffer;
+    info.fd_limit_per_thread = detail::most_descriptors;
+    this->context = lws_create_context(&info);
+    info.protocols = this->protocols.data();
+    info.port = this->settings.listen.port == 0 ? CONTEXT_PORT_NO_LISTEN_SERVER
+                                                : this->settings.listen.port;
+    info.iface =
+        this->settings.listen.port == 0 ? nullptr : this->listen_ip.c_str();
+    info.vhost_name = "lagoon";
+    this->vhost = lws_create_vhost(this->context, &info);
+    this->timer.loop = this;
+}
+
+template <class P> event_loop<P>::~event_loop()
+{
+    lws_context_destroy(this->context);
+}
+
+template <class P> bool event_loop<P>::is_open() const
+{
+    return this->vhost != nullptr;
+}
+
+template <class P> event_loop<P>& event_loop<P>::of(lws* wsi)
+{
+    return *static_cast<event_loop*>(lws_context_user(lws_get_context(wsi)));
+}
+
+template <class P> exchange_id event_loop<P>::exchange_of(lws* wsi)
+{
+    return {reinterpret_cast<std::uint64_t>(lws_get_opaque_user_data(wsi))};
+}
+
+template <class P> void event_loop<P>::run()
+{
+    lws_sul_schedule(this->context, 0, &this->timer.list, &on_timer,
+                     this->settings.tick.count());
+    while (!this->program.wants_to_stop())
+        if (lws_service(this->context, 0) < 0)
+            return;
+}
+
+template <class P> void event_loop<P>::on_timer(lws_sorted_usec_list_t* list)
+{
+    event_loop& loop = *reinterpret_cast<tick_timer*>(list)->loop;
+    loop.expire_calls(read_clock());
+    loop.program.on_tick();
+    lws_sul_schedule(loop.context, 0, &loop.timer.list, &on_timer,
+                     loop.settings.tick.count());
+}
+
+// ---- datagrams ----------------------------------------------------------
+
+template <class P> void event_loop<P>::adopt(lane as, udp_socket const& socket)
+{
+    auto const old = this->sockets.find(as);
+    if (old != this->sockets.end())
+        lws_set_timeout(old->second.wsi, PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_ASYNC);
+    lws_sock_file_fd_type descriptor{};
+    descriptor.sockfd = socket.descriptor;
+    lws* wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_SOCKET_UDP,
+                                          descriptor, "udp", nullptr);
+    lws_set_opaque_user_data(wsi,
+                             reinterpret_cast<void*>(std::uintptr_t{as.value}));
+    this->sockets.insert_or_assign(as, adopted_socket{socket, wsi});
+}
+
+template <class P>
+void event_loop<P>::send(lane by, peer_address to, std::string_view bytes)
+{
+    auto const found = this->sockets.find(by);
+    if (found != this->sockets.end())
+        send_udp(found->second.socket.descriptor, to, bytes);
+}
+
+template <class P>
+int event_loop<P>::on_udp(lws* wsi, lws_callback_reasons why, void*, void* in,
+                          size_t size)
+{
+    if (why != LWS_CALLBACK_RAW_RX)
+        return 0;
+    return of(wsi).receive_datagrams(wsi, {static_cast<char*>(in), size});
+}
+
+// libwebsockets reads one datagram a wakeup; what else is there is read at
+// once, up to a bound that keeps the other sockets served.
+template <class P>
+int event_loop<P>::receive_datagrams(lws* wsi, std::string_view first)
+{
+    lane const by{static_cast<std::uint8_t>(exchange_of(wsi).value)};
+    this->program.on_datagram(by, detail::sender_of(wsi), first);
+    int const descriptor = lws_get_socket_fd(wsi);
+    for (int i = 1; i < detail::datagrams_per_wakeup; ++i) {
+        std::optional<received_datagram> const more = drain_udp(descriptor);
+        if (!more)
+            break;
+        this->program.on_datagram(by, more->from, more->bytes);
+    }
+    return 0;
+}
+
+// ---- calls --------------------------------------------------------------
+
+template <class P> exchange_id event_loop<P>::call(http_call const& what)
+{
+    exchange_id const id{++this->last_exchange};
+    std::string const host = detail::ip_text(what.to);
+    client_exchange& exchange = this->calls[id];
+    exchange.what = what;
+    exchange.ends_at = read_clock() + what.timeout;
+    lws_client_connect_info info{};
+    info.context = this->context;
+    info.vhost = this->vhost;
+    info.address = host.c_str();
+    info.host = host.c_str();
+    info.origin = host.c_str();
+    info.port = what.to.port;
+    info.path = exchange.what.path.c_str();
+    info.method = exchange.what.method.c_str();
+    info.protocol = "client";
+    info.local_protocol_name = "client";
+    info.pwsi = &exchange.wsi;
+    info.opaque_user_data = reinterpret_cast<void*>(id.value);
+    // A failure at once is reported by the next tick, never from in here.
+    if (lws_client_connect_via_info(&info) == nullptr)
+        exchange.ends_at = time_point{};
+    return id;
+}
+
+template <class P> void event_loop<P>::cancel(exchange_id exchange)
+{
+    auto const found = this->calls.find(exchange);
+    if (found == this->calls.end())
+        return;
+    if (found->second.wsi != nullptr)
+        lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK,
+                        LWS_TO_KILL_ASYNC);
+    found->second.ends_at = time_point{};
+}
+
+template <class P> void event_loop<P>::expire_calls(time_point now)
+{
+    std::vector<exchange_id> over;
+    for (auto const& [id, exchange] : this->calls)
+        if (exchange.ends_at <= now)
+            over.push_back(id);
+    for (exchange_id const id : over) {
+        lws* wsi = this->calls[id].wsi;
+        this->end_client(id);
+        if (wsi != nullptr)
+            lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
+    }
+}
+
+template <class P> void event_loop<P>::end_client(exchange_id exchange)
+{
+    auto const found = this->calls.find(exchange);
+    if (found == this->calls.end())
+        return;
+    http_result const result = found->second.result;
+    this->calls.erase(found);
+    this->program.on_http_end(exchange, result);
+}
+
+template <class P>
+int event_loop<P>::on_client(lws* wsi, lws_callback_reasons why, void*,
+                             void* in, size_t size)
+{
+    event_loop& loop = of(wsi);
+    exchange_id const id = exchange_of(wsi);
+    auto const found = loop.calls.find(id);
+    if (found == loop.calls.end())
+        return 0;
+    client_exchange& exchange = found->second;
+    switch (why) {
+    case LWS_CALLBACK_CLIENT_APPEND_HANDSHAKE_HEADER:
+        return loop.send_client_head(wsi, exchange, in, size);
+    case LWS_CALLBACK_CLIENT_HTTP_WRITEABLE:
+        return loop.send_client_body(wsi, exchange);
+    case LWS_CALLBACK_ESTABLISHED_CLIENT_HTTP:
+        return loop.read_client_head(wsi, exchange);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP:
+        return loop.read_client_body(wsi);
+    case LWS_CALLBACK_RECEIVE_CLIENT_HTTP_READ:
+        loop.program.on_http_bytes(id, {static_cast<char*>(in), size});
+        return 0;
+    case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
+        exchange.result.end = http_end::whole;
+        loop.end_client(id);
+        return -1;
+    case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
+        exchange.wsi = nullptr;
+        exchange.ends_at = time_point{};
+        return 0;
+    case LWS_CALLBACK_CLOSED_CLIENT_HTTP:
+        exchange.wsi = nullptr;
+        loop.end_client(id);
+        return 0;
+    default:
+        return 0;
+    }
+}
+
+template <class P>
+int event_loop<P>::send_client_head(lws* wsi, client_exchange const& exchange,
+                                    void* in, size_t size)
+{
+    // From here on the other side may have seen the call.
+    client_exchange& sent = this->calls[exchange_of(wsi)];
+    sent.result.end = http_end::lost;
+    if (exchange.what.method != "POST")
+        return 0;
+    auto** at = static_cast<unsigned char**>(in);
+    unsigned char* end = *at + size;
+    std::string const length = std::to_string(exchange.what.body.size());
+    int const failed = lws_add_http_header_by_token(
+        wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH,
+        reinterpret_cast<unsigned char const*>(length.c_str()),
+        static_cast<int>(length.size()), at, end);
+    if (failed != 0)
+        return -1;
+    lws_client_http_body_pending(wsi, 1);
+    lws_callback_on_writable(wsi);
+    return 0;
+}
+
+template <class P>
+int event_loop<P>::send_client_body(lws* wsi, client_exchange& exchange)
+{
+    if (exchange.what.method != "POST" || exchange.body_sent)
+        return 0;
+    exchange.body_sent = true;
+    std::string padded(LWS_PRE, '\0');
+    padded += exchange.what.body;
+    lws_client_http_body_pending(wsi, 0);
+    int const written = lws_write(
+        wsi, reinterpret_cast<unsigned char*>(padded.data()) + LWS_PRE,
+        exchange.what.body.size(), LWS_WRITE_HTTP_FINAL);
+    return written < 0 ? -1 : 0;
+}
+
+template <class P>
+int event_loop<P>::read_client_head(lws* wsi, client_exchange& exchange)
+{
+    std::string const wait =
+        detail::header_text(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
+    long const seconds = std::strtol(wait.c_str(), nullptr, 10);
+    exchange.result = {http_end::lost, lws_http_client_http_response(wsi),
+                       std::chrono::seconds{std::clamp(seconds, 0L, 3600L)}};
+    return 0;
+}
+
+template <class P> int event_loop<P>::read_client_body(lws* wsi)
+{
+    std::vector<char> buffer(detail::service_buffer + LWS_PRE);
+    char* at = buffer.data() + LWS_PRE;
+    int size = static_cast<int>(detail::service_buffer);
+    return lws_http_client_read(wsi, &at, &size) < 0 ? -1 : 0;
+}
+
+// ---- requests -----------------------------------------------------------
+
+template <class P>
+int event_loop<P>::on_server(lws* wsi, lws_callback_reasons why, void* user,
+                             void* in, size_t size)
+{
+    event_loop& loop = of(wsi);
+    exchange_id const id = exchange_of(wsi);
+    auto const found = loop.requests.find(id);
+    bool const known = id != exchange_id{} && found != loop.requests.end();
+    switch (why) {
+    case LWS_CALLBACK_HTTP:
+        return loop.take_request_head(wsi, {static_cast<char*>(in), size});
+    case LWS_CALLBACK_HTTP_BODY:
+        if (!known ||
+            found->second.request.body.size() + size > detail::largest_request)
+            return -1;
+        found->second.request.body.append(static_cast<char*>(in), size);
+        return 0;
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+        if (known)
+            loop.program.on_http_request(id, found->second.request);
+        return 0;
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+        return known ? loop.continue_reply(wsi, id) : 0;
+    case LWS_CALLBACK_CLOSED_HTTP:
+        if (known) {
+            loop.requests.erase(found);
+            loop.program.on_http_gone(id);
+        }
+        return 0;
+    default:
+        return lws_callback_http_dummy(wsi, why, user, in, size);
+    }
+}
+
+template <class P>
+int event_loop<P>::take_request_head(lws* wsi, std::string_view path)
+{
+    exchange_id const id{++this->last_exchange};
+    lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(id.value));
+    bool const posted = lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0;
+    http_request const request{posted ? "POST" : "GET",
+                               std::string{path},
+                               detail::query_text(wsi),
+                               {}};
+    this->requests[id] = server_exchange{request, wsi, {}, false, 0};
+    if (!posted)
+        this->program.on_http_request(id, request);
+    return 0;
+}
+
+template <class P>
+void event_loop<P>::reply(exchange_id exchange, http_reply const& what)
+{
+    auto const found = this->requests.find(exchange);
+    if (found == this->requests.end())
+        return;
+    found->second.reply = what;
+    lws_callback_on_writable(found->second.wsi);
+}
+
+template <class P>
+int event_loop<P>::write_reply_head(lws* wsi, server_exchange& exchange)
+{
+    std::vector<unsigned char> buffer(LWS_PRE + detail::head_size);
+    unsigned char* const start = buffer.data() + LWS_PRE;
+    unsigned char* at = start;
+    unsigned char* const end = start + detail::head_size - 1;
+    http_reply const& reply = exchange.reply;
+    if (lws_add_http_common_headers(wsi, reply.status,
+                                    reply.content_type.c_str(),
+                                    reply.body.size(), &at, end) != 0)
+        return -1;
+    std::string const wait = std::to_string(reply.retry_after);
+    if (reply.retry_after > 0 &&
+        lws_add_http_header_by_token(
+            wsi, WSI_TOKEN_HTTP_RETRY_AFTER,
+            reinterpret_cast<unsigned char const*>(wait.c_str()),
+            static_cast<int>(wait.size()), &at, end) != 0)
+        return -1;
+    if (lws_finalize_write_http_header(wsi, start, &at, end) != 0)
+        return -1;
+    exchange.head_sent = true;
+    return 0;
+}
+
+// Ends the exchange with its last byte; the connection may carry another.
+template <class P>
+int event_loop<P>::continue_reply(lws* wsi, exchange_id exchange)
+{
+    server_exchange& serving = this->requests[exchange];
+    int const failed = serving.head_sent ? this->write_reply_part(wsi, serving)
+                                         : this->write_reply_head(wsi, serving);
+    if (failed != 0)
+        return -1;
+    if (serving.body_sent < serving.reply.body.size()) {
+        lws_callback_on_writable(wsi);
+        return 0;
+    }
+    this->requests.erase(exchange);
+    return lws_http_transaction_completed(wsi) != 0 ? -1 : 0;
+}
+
+template <class P>
+int event_loop<P>::write_reply_part(lws* wsi, server_exchange& exchange)
+{
+    std::string const& body = exchange.reply.body;
+    std::string chunk(LWS_PRE, '\0');
+    chunk += body.substr(exchange.body_sent, detail::reply_chunk);
+    std::size_t const size = chunk.size() - LWS_PRE;
+    exchange.body_sent += size;
+    bool const last = exchange.body_sent >= body.size();
+    int const written =
+        lws_write(wsi, reinterpret_cast<unsigned char*>(chunk.data()) + LWS_PRE,
+                  size, last ? LWS_WRITE_HTTP_FINAL : LWS_WRITE_HTTP);
+    return written < 0 ? -1 : 0;
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/platform/documents.cpp
@@ -0,0 +1,338 @@
+#include "platform/documents.hpp"
+
+#include <algorithm>
+
+namespace lagoon {
+
+namespace {
+
+constexpr std::uint32_t most_slots = 100'000;
+
+// ---- names of states ----------------------------------------------------
+
+char const* name_of(target_state state)
+{
+    switch (state) {
+    case target_state::serving:
+        return "serving";
+    case target_state::joining:
+        return "joining";
+    case target_state::leaving:
+        return "leaving";
+    }
+    return "?";
+}
+
+target_state state_named(json_checker& checker, json_place const& object)
+{
+    std::string const name = checker.text(object, "state");
+    for (target_state const state :
+         {target_state::serving, target_state::joining, target_state::leaving})
+        if (name == name_of(state))
+            return state;
+    checker.problem(object, "a state: serving, joining or leaving");
+    return target_state::leaving;
+}
+
+// ---- writing ------------------------------------------------------------
+
+std::string render(Json::Value const& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+Json::Value number_of(generation value)
+{
+    return Json::Value::UInt64{value.value};
+}
+
+Json::Value json_of(target_record const& target)
+{
+    Json::Value value{Json::objectValue};
+    value["name"] = target.name;
+    value["data_centre"] = target.data_centre;
+    value["address"] = to_text(target.address);
+    value["control"] = to_text(target.control);
+    value["slots"] = target.slots;
+    value["state"] = name_of(target.state);
+    return value;
+}
+
+Json::Value json_of(entry_record const& entry)
+{
+    Json::Value value{Json::objectValue};
+    value["name"] = entry.name;
+    value["data_centre"] = entry.data_centre;
+    value["exchange"] = to_text(entry.exchange);
+    value["control"] = to_text(entry.control);
+    return value;
+}
+
+Json::Value json_of(service_part const& part)
+{
+    Json::Value value{Json::objectValue};
+    value["name"] = part.name;
+    value["changed_at"] = number_of(part.changed_at);
+    value["callers"] = Json::Value{Json::arrayValue};
+    for (caller_id const caller : part.callers)
+        value["callers"].append(hex_of(caller.value));
+    value["targets"] = Json::Value{Json::arrayValue};
+    for (target_record const& target : part.targets)
+        value["targets"].append(json_of(target));
+    return value;
+}
+
+Json::Value json_of(fleet_part const& part)
+{
+    Json::Value value{Json::objectValue};
+    value["changed_at"] = number_of(part.changed_at);
+    value["entries"] = Json::Value{Json::arrayValue};
+    for (entry_record const& entry : part.entries)
+        value["entries"].append(json_of(entry));
+    return value;
+}
+
+Json::Value json_of(part_change const& change)
+{
+    Json::Value value{Json::objectValue};
+    value["at"] = number_of(change.at);
+    value["name"] = change.name;
+    value["removed"] = change.removed;
+    return value;
+}
+
+Json::Value json_of(std::vector<part_change> const& changes)
+{
+    Json::Value value{Json::arrayValue};
+    for (part_change const& change : changes)
+        value.append(json_of(change));
+    return value;
+}
+
+Json::Value json_of(catalog_version const& version)
+{
+    Json::Value value{Json::objectValue};
+    value["generation"] = number_of(version.number);
+    value["digest"] = hex_of(version.content.value);
+    return value;
+}
+
+// ---- parsing ------------------------------------------------------------
+
+constexpr number_range generations{1, INT64_MAX};
+
+generation read_generation(json_checker& checker, json_place const& object,
+                           std::string const& key, number_range range)
+{
+    return {checker.number(object, key, range)};
+}
+
+catalog_version read_version(json_checker& checker, json_place const& object)
+{
+    generation const number =
+        read_generation(checker, object, "generation", generations);
+    return {number, checker.hex(object, "digest")};
+}
+
+part_change read_part_change(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"at", "name", "removed"});
+    generation const at = read_generation(checker, object, "at", generations);
+    // An empty name stands for the fleet, so text() doesn't do.
+    bool const named =
+        object.value->isMember("name") && (*object.value)["name"].isString();
+    if (!named)
+        checker.problem(object, "a key \"name\"");
+    std::string const name =
+        named ? (*object.value)["name"].asString() : std::string{};
+    return {at, name, checker.flag(object, "removed")};
+}
+
+std::vector<part_change> read_part_changes(json_checker& checker,
+                                           json_place const& object,
+                                           std::string const& key)
+{
+    std::vector<part_change> changes;
+    for (json_place const& item : checker.list(object, key))
+        if (item.value->isObject())
+            changes.push_back(read_part_change(checker, item));
+        else
+            checker.problem(item, "an object");
+    return changes;
+}
+
+target_record read_target(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"name", "data_centre", "address", "control", "slots",
+                          "state"});
+    std::string const name = checker.text(object, "name");
+    std::string const data_centre = checker.text(object, "data_centre");
+    peer_address const address = checker.address(object, "address");
+    peer_address const control = checker.address(object, "control");
+    auto const slots = static_cast<std::uint32_t>(
+        checker.number(object, "slots", {1, most_slots}));
+    target_state const state = state_named(checker, object);
+    return {
+        target_named(name), name, data_centre, address, control, slots, state};
+}
+
+entry_record read_entry(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"name", "data_centre", "exchange", "control"});
+    std::string const name = checker.text(object, "name");
+    std::string const data_centre = checker.text(object, "data_centre");
+    peer_address const exchange = checker.address(object, "exchange");
+    peer_address const control = checker.address(object, "control");
+    return {process_named(name), name, data_centre, exchange, control};
+}
+
+caller_id read_caller(json_checker& checker, json_place const& item)
+{
+    // The id of a caller is written as 16 hexadecimal digits.
+    Json::Value wrapped{Json::objectValue};
+    wrapped["id"] = *item.value;
+    return {checker.hex({&wrapped, item.path}, "id").value};
+}
+
+service_part read_service(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"name", "changed_at", "callers", "targets"});
+    std::string const name = checker.text(object, "name");
+    generation const changed_at =
+        read_generation(checker, object, "changed_at", generations);
+    std::vector<caller_id> callers;
+    for (json_place const& item : checker.list(object, "callers"))
+        callers.push_back(read_caller(checker, item));
+    std::sort(callers.begin(), callers.end());
+    std::vector<target_record> targets;
+    for (json_place const& item : checker.list(object, "targets"))
+        targets.push_back(read_target(checker, item));
+    return {service_named(name), name, changed_at, callers, targets};
+}
+
+fleet_part read_fleet(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"changed_at", "entries"});
+    generation const changed_at =
+        read_generation(checker, object, "changed_at", generations);
+    std::vector<entry_record> entries;
+    for (json_place const& item : checker.list(object, "entries"))
+        entries.push_back(read_entry(checker, item));
+    return {changed_at, entries};
+}
+
+platform_head read_head(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"generation", "digest", "reaches_back", "recent"});
+    catalog_version const version = read_version(checker, object);
+    generation const reaches_back =
+        read_generation(checker, object, "reaches_back", {0, INT64_MAX});
+    return {version, reaches_back,
+            read_part_changes(checker, object, "recent")};
+}
+
+platform_index read_index(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"generation", "digest", "parts"});
+    catalog_version const version = read_version(checker, object);
+    return {version, read_part_changes(checker, object, "parts")};
+}
+
+catalog_change read_change(json_checker& checker, json_place const& object)
+{
+    checker.only(object,
+                 {"generation", "digest", "base", "parts", "removed", "fleet"});
+    catalog_version const version = read_version(checker, object);
+    generation const base =
+        read_generation(checker, object, "base", {0, INT64_MAX});
+    std::vector<service_part> parts;
+    for (json_place const& item : checker.list(object, "parts"))
+        parts.push_back(read_service(checker, item));
+    std::vector<service_id> removed;
+    for (json_place const& item : checker.list(object, "removed"))
+        removed.push_back({read_caller(checker, item).value});
+    std::optional<fleet_part> fleet;
+    if (checker.has(object, "fleet"))
+        fleet = read_fleet(checker, checker.object(object, "fleet"));
+    return {base, version.number, version.content, parts, removed, fleet};
+}
+
+}  // namespace
+
+// ---- writing ------------------------------------------------------------
+
+std::string write_document(platform_head const& head)
+{
+    Json::Value value = json_of(head.version);
+    value["reaches_back"] = number_of(head.reaches_back);
+    value["recent"] = json_of(head.recent);
+    return render(value);
+}
+
+std::string write_document(platform_index const& index)
+{
+    Json::Value value = json_of(index.version);
+    value["parts"] = json_of(index.parts);
+    return render(value);
+}
+
+std::string write_document(fleet_part const& part)
+{
+    return render(json_of(part));
+}
+
+std::string write_document(service_part const& part)
+{
+    return render(json_of(part));
+}
+
+std::string write_document(catalog_change const& change)
+{
+    Json::Value value = json_of(catalog_version{change.to, change.whole});
+    value["base"] = number_of(change.base);
+    value["parts"] = Json::Value{Json::arrayValue};
+    for (service_part const& part : change.parts)
+        value["parts"].append(json_of(part));
+    value["removed"] = Json::Value{Json::arrayValue};
+    for (service_id const id : change.removed)
+        value["removed"].append(hex_of(id.value));
+    if (change.fleet)
+        value["fleet"] = json_of(*change.fleet);
+    return render(value);
+}
+
+// ---- parsing ------------------------------------------------------------
+
+std::optional<platform_head> parse_head(json_checker& checker,
+                                        std::string const& text)
+{
+    return parse_checked(checker, text, read_head);
+}
+
+std::optional<platform_index> parse_index(json_checker& checker,
+                                          std::string const& text)
+{
+    return parse_checked(checker, text, read_index);
+}
+
+std::optional<fleet_part> parse_fleet(json_checker& checker,
+                                      std::string const& text)
+{
+    return parse_checked(checker, text, read_fleet);
+}
+
+std::optional<service_part> parse_service(json_checker& checker,
+                                          std::string const& text)
+{
+    return parse_checked(checker, text, read_service);
+}
+
+std::optional<catalog_change> parse_change(json_checker& checker,
+                                           std::string const& text)
+{
+    return parse_checked(checker, text, read_change);
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/command_line.cpp
@@ -0,0 +1,68 @@
+#include "programs/command_line.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace lagoon {
+
+namespace po = boost::program_options;
+
+std::optional<std::string> read_file(std::string const& path)
+{
+    std::ifstream file{path, std::ios::binary};
+    if (!file)
+        return std::nullopt;
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+void print_problems(std::vector<json_problem> const& problems)
+{
+    for (json_problem const& problem : problems)
+        std::cerr << to_text(problem) << '\n';
+}
+
+std::optional<process_start> read_command_line(int count, char** arguments,
+                                               std::string const& program,
+                                               int& exit_code)
+{
+    po::options_description options{"Usage: " + program +
+                                    " --settings FILE\n\nOptions"};
+    options.add_options()("help", "print this text")(
+        "version", "print the version")("settings", po::value<std::string>(),
+                                        "settings file, JSON with comments")(
+        "check-settings", "check the settings file and exit");
+    exit_code = exit_bad_input;
+    po::variables_map given;
+    try {
+        po::store(po::parse_command_line(count, arguments, options), given);
+    } catch (po::error const& error) {
+        std::cerr << program << ": " << error.what() << '\n';
+        return std::nullopt;
+    }
+    if (given.count("help") != 0 || given.count("version") != 0) {
+        exit_code = exit_good;
+        if (given.count("help") != 0)
+            std::cout << options;
+        else
+            std::cout << program << ' ' << program_version << '\n';
+        return std::nullopt;
+    }
+    if (given.count("settings") == 0) {
+        std::cerr << program << ": --settings FILE is missing\n";
+        return std::nullopt;
+    }
+    std::string const path = given["settings"].as<std::string>();
+    std::optional<std::string> const text = read_file(path);
+    if (!text) {
+        std::cerr << program << ": " << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    return process_start{path, *text, given.count("check-settings") != 0};
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/command_line.hpp
@@ -0,0 +1,50 @@
+// The command line that the long-running programs share.
+//
+// Index
+//   exit codes      documented in docs/OPERATORS.md
+//   process_start   what the command line asks for
+//   read_command_line
+#pragma once
+
+#include "platform/checked_json.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoon {
+
+// ---- exit codes ---------------------------------------------------------
+
+constexpr int exit_good = 0;
+constexpr int exit_failed = 1;     // it ran and couldn't do its work
+constexpr int exit_bad_input = 2;  // settings, sheet or arguments are wrong
+constexpr int exit_cut_off = 3;    // stopped at once, by a second signal
+
+constexpr char const* program_version = "0.1.0";
+
+// ---- process_start ------------------------------------------------------
+
+struct process_start
+{
+    std::string settings_file = {};
+    std::string settings_text = {};
+    bool only_check = false;
+    auto operator<=>(process_start const&) const = default;
+};
+
+// ---- read_command_line --------------------------------------------------
+
+// Prints help, the version or what is wrong; then `exit_code` is set and
+// nothing is returned.
+std::optional<process_start> read_command_line(int count, char** arguments,
+                                               std::string const& program,
+                                               int& exit_code);
+
+// The text of a file, or nothing.
+std::optional<std::string> read_file(std::string const& path);
+
+// One line each on standard error.
+void print_problems(std::vector<json_problem> const& problems);
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/entry_program.hpp
@@ -0,0 +1,74 @@
+// lagoon-entry as a loop program: translates between sockets and the role.
+//
+// Index
+//   lanes           the sockets of an entry
+//   entry_program   the adapter
+#pragma once
+
+#include "entry/entry.hpp"
+#include "loop/event_loop.hpp"
+#include "programs/control_link.hpp"
+#include "programs/settings.hpp"
+#include "telemetry/logging.hpp"
+#include "telemetry/metrics.hpp"
+#include "telemetry/status.hpp"
+#include "wire/codec.hpp"
+
+namespace lagoon {
+
+// ---- lanes --------------------------------------------------------------
+
+// Lanes below lane_count go to targets.
+constexpr lane caller_lane{lane_count};
+constexpr lane exchange_lane{lane_count + 1};
+
+// ---- entry_program ------------------------------------------------------
+
+class entry_program
+{
+public:
+    explicit entry_program(entry_settings settings);
+
+    // Binds the sockets; false when one can't be had.
+    bool open(failure& last);
+    void run();
+    bool was_cut_off() const;
+
+    void on_datagram(lane by, peer_address from, std::string_view bytes);
+    void on_tick();
+    void on_http_request(exchange_id exchange, http_request const& request);
+    void on_http_gone(exchange_id exchange);
+    void on_http_bytes(exchange_id exchange, std::string_view bytes);
+    void on_http_end(exchange_id exchange, http_result const& result);
+    bool wants_to_stop() const;
+
+private:
+    using loop_type = event_loop<entry_program>;
+
+    void feed(entry_event const& event);
+    void feed(control_events const& events);
+    void perform(send_inward const& effect);
+    void perform(send_to_caller const& effect);
+    void perform(send_digest const& effect);
+    void perform(fetch_from_peer const& effect);
+    void perform(read_platform const& effect);
+    void perform(generation_adopted const& effect);
+    void perform(note_failure const& effect);
+    std::optional<entry_event> event_for(lane by, peer_address from,
+                                         datagram const& packet) const;
+    process_status status() const;
+
+    entry_settings settings;
+    part_log log{"entry"};
+    time_point started;
+    loop_type loop;
+    entry<seeded_random> role;
+    control_link<loop_type> control;
+    rpc_server rpc;
+    process_metrics metrics = {};
+    std::uint64_t packets = 0;
+    bool stopping = false;
+    time_point stop_at = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/main.hpp
@@ -0,0 +1,52 @@
+// The short main that entry and target share.
+//
+// Index
+//   run_process   parse, check, open, run; returns the exit code
+#pragma once
+
+#include "base/failure.hpp"
+#include "loop/signals.hpp"
+#include "programs/command_line.hpp"
+#include "telemetry/logging.hpp"
+
+#include <iostream>
+#include <sodium.h>
+
+namespace lagoon {
+
+// ---- run_process --------------------------------------------------------
+
+template <class Program, class Parse>
+int run_process(int count, char** arguments, std::string const& name,
+                Parse parse)
+{
+    int exit_code = exit_good;
+    std::optional<process_start> const start =
+        read_command_line(count, arguments, name, exit_code);
+    if (!start)
+        return exit_code;
+    json_checker checker{start->settings_file};
+    auto const settings = parse(checker, start->settings_text);
+    if (!settings) {
+        print_problems(checker.problems());
+        return exit_bad_input;
+    }
+    if (start->only_check) {
+        std::cout << start->settings_file << ": good\n";
+        return exit_good;
+    }
+    if (sodium_init() < 0)
+        return exit_failed;
+    start_logging(settings->process.log_level);
+    catch_stop_signals();
+    Program program{*settings};
+    failure last;
+    if (!program.open(last)) {
+        std::cerr << name << ": " << to_text(last) << '\n';
+        return exit_failed;
+    }
+    program.run();
+    return program.was_cut_off() ? exit_cut_off : exit_good;
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/settings.hpp
@@ -0,0 +1,60 @@
+// The settings files of the processes: JSON with comments, checked whole.
+//
+// Index
+//   entry_settings    of lagoon-entry
+//   slot_settings     of lagoon-target
+//   parsing           errors come as json_problem, all of them at once
+#pragma once
+
+#include "base/values.hpp"
+#include "platform/checked_json.hpp"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoon {
+
+// ---- entry_settings -----------------------------------------------------
+
+// What both kinds of process need.
+struct process_settings
+{
+    std::string name = {};
+    std::string data_centre = {};
+    peer_address control = {};             // TCP, JSON-RPC
+    peer_address platform = {};            // TCP, HTTP
+    std::vector<peer_address> seeds = {};  // peers' exchange addresses
+    std::string log_level = {};
+    auto operator<=>(process_settings const&) const = default;
+};
+
+struct entry_settings
+{
+    process_settings process = {};
+    peer_address callers = {};   // UDP, packets of callers
+    peer_address exchange = {};  // UDP, digests of peers
+    auto operator<=>(entry_settings const&) const = default;
+};
+
+// ---- slot_settings ------------------------------------------------------
+
+struct slot_settings
+{
+    process_settings process = {};
+    peer_address packets = {};   // UDP, from entries and peers
+    peer_address back_end = {};  // TCP, HTTP, on the same VM
+    std::uint32_t slots = 1;     // requests that the back end runs at once
+    duration cold = {};          // over which a cold back end opens its slots
+    std::size_t answer_memory = 0;  // bytes
+    auto operator<=>(slot_settings const&) const = default;
+};
+
+// ---- parsing ------------------------------------------------------------
+
+std::optional<entry_settings> parse_entry_settings(json_checker& checker,
+                                                   std::string const& text);
+std::optional<slot_settings> parse_slot_settings(json_checker& checker,
+                                                 std::string const& text);
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/programs/target_program.hpp
@@ -0,0 +1,74 @@
+// lagoon-target as a loop program: translates between sockets, the back end
+// and the role.
+//
+// Index
+//   target_program   the adapter
+#pragma once
+
+#include "loop/event_loop.hpp"
+#include "programs/control_link.hpp"
+#include "programs/settings.hpp"
+#include "target/target.hpp"
+#include "telemetry/logging.hpp"
+#include "telemetry/metrics.hpp"
+#include "telemetry/status.hpp"
+#include "wire/codec.hpp"
+
+#include <map>
+
+namespace lagoon {
+
+// ---- target_program -----------------------------------------------------
+
+class target_program
+{
+public:
+    explicit target_program(slot_settings settings);
+
+    // Binds the sockets; false when one can't be had.
+    bool open(failure& last);
+    void run();
+    bool was_cut_off() const;
+
+    void on_datagram(lane by, peer_address from, std::string_view bytes);
+    void on_tick();
+    void on_http_request(exchange_id exchange, http_request const& request);
+    void on_http_gone(exchange_id exchange);
+    void on_http_bytes(exchange_id exchange, std::string_view bytes);
+    void on_http_end(exchange_id exchange, http_result const& result);
+    bool wants_to_stop() const;
+
+private:
+    using loop_type = event_loop<target_program>;
+
+    void feed(target_event const& event);
+    void feed(control_events const& events);
+    void perform(send_outward const& effect);
+    void perform(hand_over const& effect);
+    void perform(start_run const& effect);
+    void perform(cancel_run const& effect);
+    void perform(request_settled const& effect);
+    void perform(send_digest const& effect);
+    void perform(fetch_from_peer const& effect);
+    void perform(read_platform const& effect);
+    void perform(generation_adopted const& effect);
+    void perform(note_failure const& effect);
+    http_call call_for(start_run const& effect) const;
+    process_status status() const;
+
+    slot_settings settings;
+    part_log log{"target"};
+    time_point started;
+    loop_type loop;
+    target<standard_policy> role;
+    control_link<loop_type> control;
+    rpc_server rpc;
+    process_metrics metrics = {};
+    std::map<exchange_id, run_id> runs = {};
+    std::map<run_id, exchange_id> exchanges = {};
+    std::uint64_t packets = 0;
+    bool stopping = false;
+    time_point busy_until = {};  // a stopping target stays for stragglers
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/sheet/sheet.cpp
@@ -0,0 +1,513 @@
+#include "sheet/sheet.hpp"
+
+#include <boost/tokenizer.hpp>
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <set>
+#include <sstream>
+
+namespace lagoon {
+
+namespace {
+
+// ---- rows ---------------------------------------------------------------
+
+enum class column : std::uint8_t
+{
+    kind,
+    service,
+    name,
+    data_centre,
+    address,
+    control,
+    slots,
+    state
+};
+
+constexpr std::size_t column_count = 8;
+constexpr std::array<char const*, column_count> column_names{
+    "kind",    "service", "name",  "data_centre",
+    "address", "control", "slots", "state"};
+constexpr std::uint32_t most_slots = 100'000;
+constexpr std::size_t longest_name = 100;  // characters
+
+struct sheet_row
+{
+    std::size_t line = 0;
+    std::array<std::string, column_count> fields = {};
+
+    std::string const& at(column which) const
+    {
+        return this->fields[static_cast<std::size_t>(which)];
+    }
+};
+
+// Reads rows into parts, and collects what is wrong.
+class sheet_builder
+{
+public:
+    explicit sheet_builder(std::vector<sheet_problem>& problems)
+        : problems(problems)
+    {
+    }
+
+    void read_header(std::string const& line);
+    void read_row(std::size_t number, std::string const& line);
+    planned_sheet finish();
+
+private:
+    void problem(sheet_row const& row, column which,
+                 std::string const& expected);
+    std::optional<sheet_row> split(std::size_t number, std::string const& line);
+    std::string read_name(sheet_row const& row, column which);
+    peer_address read_address(sheet_row const& row, column which);
+    std::uint32_t read_slots(sheet_row const& row);
+    target_state read_state(sheet_row const& row);
+    void read_entry(sheet_row const& row);
+    void read_target(sheet_row const& row);
+    void read_caller(sheet_row const& row);
+    void check_hash(sheet_row const& row, column which, std::uint64_t hash);
+    void check_once(sheet_row const& row, std::string const& key);
+    void check_target(sheet_row const& row, target_record const& target);
+
+    std::vector<sheet_problem>& problems;
+    std::map<std::string, service_part> services = {};
+    std::vector<entry_record> entries = {};
+    std::map<std::uint64_t, std::string> names = {};  // by hash
+    std::map<std::string, peer_address> vms = {};     // address of each target
+    std::map<peer_address, std::string> owners = {};  // the other way round
+    std::set<std::string> seen = {};                  // rows, against doubles
+};
+
+void sheet_builder::problem(sheet_row const& row, column which,
+                            std::string const& expected)
+{
+    this->problems.push_back({row.line,
+                              column_names[static_cast<std::size_t>(which)],
+                              row.at(which), expected});
+}
+
+std::vector<std::string> fields_of(std::string const& line)
+{
+    using separator = boost::escaped_list_separator<char>;
+    boost::tokenizer<separator> const tokens{line, separator{'\\', ',', '"'}};
+    return {tokens.begin(), tokens.end()};
+}
+
+void sheet_builder::read_header(std::string const& line)
+{
+    std::vector<std::string> const fields = fields_of(line);
+    bool const fits = std::equal(fields.begin(), fields.end(),
+                                 column_names.begin(), column_names.end());
+    if (!fits)
+        this->problems.push_back(
+            {1, "header", line,
+             "kind,service,name,data_centre,address,control,slots,state"});
+}
+
+std::optional<sheet_row> sheet_builder::split(std::size_t number,
+                                              std::string const& line)
+{
+    std::vector<std::string> fields;
+    try {
+        fields = fields_of(line);
+    } catch (boost::escaped_list_error const& error) {
+        this->problems.push_back({number, "row", line, error.what()});
+        return std::nullopt;
+    }
+    if (fields.size() != column_count) {
+        this->problems.push_back({number, "row",
+                                  std::to_string(fields.size()) + " fields",
+                                  std::to_string(column_count) + " fields"});
+        return std::nullopt;
+    }
+    sheet_row row{number, {}};
+    std::copy(fields.begin(), fields.end(), row.fields.begin());
+    return row;
+}
+
+std::string sheet_builder::read_name(sheet_row const& row, column which)
+{
+    std::string const& name = row.at(which);
+    auto const plain = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= '0' && c <= '9') || c == '-';
+    };
+    bool const fits = !name.empty() && name.size() <= longest_name &&
+                      std::all_of(name.begin(), name.end(), plain);
+    if (!fits)
+        this->problem(row, which, "a name of a-z, 0-9 and '-'");
+    return name;
+}
+
+peer_address sheet_builder::read_address(sheet_row const& row, column which)
+{
+    std::optional<peer_address> const address = parse_address(row.at(which));
+    if (!address)
+        this->problem(row, which, "an address such as 127.0.0.1:9000");
+    return address.value_or(peer_address{});
+}
+
+std::uint32_t sheet_builder::read_slots(sheet_row const& row)
+{
+    std::string const& text = row.at(column::slots);
+    std::uint32_t slots = 0;
+    auto const [end, error] =
+        std::from_chars(text.data(), text.data() + text.size(), slots);
+    bool const fits = error == std::errc{} &&
+                      end == text.data() + text.size() && slots >= 1 &&
+                      slots <= most_slots;
+    if (!fits)
+        this->problem(row, column::slots, "a whole number from 1 to 100000");
+    return slots;
+}
+
+target_state sheet_builder::read_state(sheet_row const& row)
+{
+    std::string const& text = row.at(column::state);
+    if (text == "serving")
+        return target_state::serving;
+    if (text == "joining")
+        return target_state::joining;
+    if (text != "leaving")
+        this->problem(row, column::state, "serving, joining or leaving");
+    return target_state::leaving;
+}
+
+// Identifiers are hashes of names: two names must not share one.
+void sheet_builder::check_hash(sheet_row const& row, column which,
+                               std::uint64_t hash)
+{
+    auto const [known, fresh] = this->names.try_emplace(hash, row.at(which));
+    if (!fresh && known->second != row.at(which))
+        this->problem(row, which,
+                      "a name whose hash differs from that of " +
+                          known->second);
+}
+
+void sheet_builder::check_once(sheet_row const& row, std::string const& key)
+{
+    if (!this->seen.insert(key).second)
+        this->problem(row, column::name, "each row once");
+}
+
+void sheet_builder::read_entry(sheet_row const& row)
+{
+    std::string const name = this->read_name(row, column::name);
+    std::string const place = this->read_name(row, column::data_centre);
+    peer_address const exchange = this->read_address(row, column::address);
+    peer_address const control = this->read_address(row, column::control);
+    this->check_once(row, "entry " + name);
+    this->check_hash(row, column::name, process_named(name).value);
+    this->entries.push_back(
+        {process_named(name), name, place, exchange, control});
+}
+
+// One VM has one address, in whatever services it stands.
+void sheet_builder::check_target(sheet_row const& row,
+                                 target_record const& target)
+{
+    auto const [vm, fresh_vm] =
+        this->vms.try_emplace(target.name, target.address);
+    if (!fresh_vm && vm->second != target.address)
+        this->problem(row, column::address,
+                      "the address of its other rows, " + to_text(vm->second));
+    auto const [owner, fresh_owner] =
+        this->owners.try_emplace(target.address, target.name);
+    if (!fresh_owner && owner->second != target.name)
+        this->problem(row, column::address,
+                      "an address that is not that of " + owner->second);
+}
+
+void sheet_builder::read_target(sheet_row const& row)
+{
+    std::string const service = this->read_name(row, column::service);
+    std::string const name = this->read_name(row, column::name);
+    std::string const place = this->read_name(row, column::data_centre);
+    peer_address const address = this->read_address(row, column::address);
+    peer_address const control = this->read_address(row, column::control);
+    std::uint32_t const slots = this->read_slots(row);
+    target_record const target{
+        target_named(name),   name, place, address, control, slots,
+        this->read_state(row)};
+    this->check_once(row, "target " + service + " " + name);
+    this->check_hash(row, column::name, target.id.value);
+    this->check_hash(row, column::service, service_named(service).value);
+    this->check_target(row, target);
+    this->services[service].targets.push_back(target);
+}
+
+void sheet_builder::read_caller(sheet_row const& row)
+{
+    std::string const service = this->read_name(row, column::service);
+    std::string const name = this->read_name(row, column::name);
+    this->check_once(row, "caller " + service + " " + name);
+    this->check_hash(row, column::name, caller_named(name).value);
+    this->check_hash(row, column::service, service_named(service).value);
+    this->services[service].callers.push_back(caller_named(name));
+}
+
+void sheet_builder::read_row(std::size_t number, std::string const& line)
+{
+    std::optional<sheet_row> const row = this->split(number, line);
+    if (!row)
+        return;
+    std::string const& kind = row->at(column::kind);
+    if (kind == "entry")
+        this->read_entry(*row);
+    else if (kind == "target")
+        this->read_target(*row);
+    else if (kind == "caller")
+        this->read_caller(*row);
+    else
+        this->problem(*row, column::kind, "entry, target or caller");
+}
+
+planned_sheet sheet_builder::finish()
+{
+    planned_sheet sheet;
+    for (auto& [name, part] : this->services) {
+        std::sort(part.callers.begin(), part.callers.end());
+        std::sort(part.targets.begin(), part.targets.end());
+        sheet.services.push_back(
+            {service_named(name), name, {}, part.callers, part.targets});
+    }
+    std::sort(this->entries.begin(), this->entries.end());
+    sheet.fleet = {{}, this->entries};
+    return sheet;
+}
+
+}  // namespace
+
+// ---- sheet_problem ------------------------------------------------------
+
+std::string to_text(sheet_problem const& problem, std::string const& file)
+{
+    return file + ":" + std::to_string(problem.line) + ": " + problem.column +
+           ": got \"" + problem.value + "\", expected " + problem.expected;
+}
+
+// ---- parse_sheet --------------------------------------------------------
+
+std::optional<planned_sheet> parse_sheet(std::string const& text,
+                                         std::vector<sheet_problem>& problems)
+{
+    std::size_t const before = problems.size();
+    sheet_builder builder{problems};
+    std::istringstream lines{text};
+    std::string line;
+    std::size_t number = 0;
+    while (std::getline(lines, line)) {
+        ++number;
+        if (line.ends_with('\r'))
+            line.pop_back();
+        if (number == 1)
+            builder.read_header(line);
+        else if (!line.empty())
+            builder.read_row(number, line);
+    }
+    if (number == 0)
+        problems.push_back({1, "header", "", "a header row"});
+    planned_sheet const sheet = builder.finish();
+    if (problems.size() > before)
+        return std::nullopt;
+    return sheet;
+}
+
+// ---- documents ----------------------------------------------------------
+
+namespace {
+
+bool same_content(service_part const& a, service_part const& b)
+{
+    return a.name == b.name && a.callers == b.callers && a.targets == b.targets;
+}
+
+bool names_target(service_part const& part, target_id id)
+{
+    return std::any_of(part.targets.begin(), part.targets.end(),
+                       [id](auto const& one) {
+                           return one.id == id;
+                       });
+}
+
+target_record as_leaving(target_record const& target)
+{
+    target_record leaving = target;
+    leaving.state = target_state::leaving;
+    return leaving;
+}
+
+// The planned part, with the targets that the sheet dropped while they
+// served.
+service_part with_dropped(service_part const& planned,
+                          service_part const* before)
+{
+    std::vector<target_record> targets = planned.targets;
+    if (before != nullptr)
+        for (target_record const& old : before->targets)
+            if (old.state != target_state::leaving &&
+                !names_target(planned, old.id))
+                targets.push_back(as_leaving(old));
+    std::sort(targets.begin(), targets.end());
+    return {planned.id, planned.name, {}, planned.callers, targets};
+}
+
+// Services that the sheet dropped altogether keep their targets as leaving.
+planned_sheet with_dropped(planned_sheet const& sheet,
+                           document_set const& previous)
+{
+    planned_sheet whole{{}, sheet.fleet};
+    std::set<std::string> named;
+    for (service_part const& part : sheet.services) {
+        auto const before = previous.parts.find(part.name);
+        bool const known = before != previous.parts.end();
+        whole.services.push_back(
+            with_dropped(part, known ? &before->second : nullptr));
+        named.insert(part.name);
+    }
+    for (auto const& [name, before] : previous.parts) {
+        service_part const empty{before.id, name, {}, {}, {}};
+        service_part const kept = with_dropped(empty, &before);
+        if (!named.contains(name) && !kept.targets.empty())
+            whole.services.push_back(kept);
+    }
+    return whole;
+}
+
+service_part at_generation(service_part const& part, generation when)
+{
+    return {part.id, part.name, when, part.callers, part.targets};
+}
+
+std::vector<part_change> changes_of(document_set const& set,
+                                    std::vector<part_change> const& removed)
+{
+    std::vector<part_change> all = removed;
+    if (set.fleet.changed_at != generation{})
+        all.push_back({set.fleet.changed_at, "", false});
+    for (auto const& [name, part] : set.parts)
+        all.push_back({part.changed_at, name, false});
+    std::sort(all.begin(), all.end());
+    return all;
+}
+
+std::vector<part_change> removed_before(document_set const& set)
+{
+    std::vector<part_change> removed;
+    for (part_change const& change : set.index.parts)
+        if (change.removed)
+            removed.push_back(change);
+    return removed;
+}
+
+// The latest changes, as many as the head holds, whole generations only.
+platform_head head_of(catalog_version const& version,
+                      std::vector<part_change> const& all)
+{
+    if (all.size() <= head_changes)
+        return {version, {}, all};
+    generation const cut = all[all.size() - head_changes - 1].at;
+    std::vector<part_change> recent;
+    for (part_change const& change : all)
+        if (change.at > cut)
+            recent.push_back(change);
+    return {version, cut, recent};
+}
+
+digest digest_of(document_set const& set)
+{
+    std::uint64_t sum = lagoon::digest_of(set.fleet).value;
+    for (auto const& [name, part] : set.parts)
+        sum += lagoon::digest_of(part).value;
+    return {sum};
+}
+
+}  // namespace
+
+document_set compile_documents(planned_sheet const& sheet,
+                               document_set const& previous)
+{
+    planned_sheet const whole = with_dropped(sheet, previous);
+    generation const next{previous.head.version.number.value + 1};
+    document_set set;
+    bool changed = false;
+    for (service_part const& part : whole.services) {
+        auto const before = previous.parts.find(part.name);
+        bool const same = before != previous.parts.end() &&
+                          same_content(before->second, part);
+        set.parts[part.name] =
+            same ? before->second : at_generation(part, next);
+        changed = changed || !same;
+    }
+    std::vector<part_change> removed;
+    for (part_change const& change : removed_before(previous))
+        if (!set.parts.contains(change.name))
+            removed.push_back(change);
+    for (auto const& [name, part] : previous.parts)
+        if (!set.parts.contains(name)) {
+            removed.push_back({next, name, true});
+            changed = true;
+        }
+    bool const same_fleet = previous.head.version != catalog_version{} &&
+                            previous.fleet.entries == whole.fleet.entries;
+    set.fleet =
+        same_fleet ? previous.fleet : fleet_part{next, whole.fleet.entries};
+    if (!changed && same_fleet)
+        return previous;
+    catalog_version const version{next, digest_of(set)};
+    set.index = {version, changes_of(set, removed)};
+    set.head = head_of(version, set.index.parts);
+    return set;
+}
+
+std::vector<std::string> compare_documents(document_set const& before,
+                                           document_set const& after)
+{
+    std::vector<std::string> lines;
+    for (auto const& [name, part] : after.parts) {
+        auto const old = before.parts.find(name);
+        if (old == before.parts.end())
+            lines.push_back("service " + name + ": new");
+        else if (!same_content(old->second, part))
+            lines.push_back("service " + name + ": changed");
+        for (target_record const& target : part.targets) {
+            bool const known = old != before.parts.end() &&
+                               std::find(old->second.targets.begin(),
+                                         old->second.targets.end(),
+                                         target) != old->second.targets.end();
+            if (!known)
+                lines.push_back(
+                    "service " + name + ": target " + target.name + " is " +
+                    (target.state == target_state::leaving   ? "leaving"
+                     : target.state == target_state::joining ? "joining"
+                                                             : "serving"));
+        }
+    }
+    for (auto const& [name, part] : before.parts)
+        if (!after.parts.contains(name))
+            lines.push_back("service " + name + ": gone");
+    if (before.fleet.entries != after.fleet.entries)
+        lines.push_back("entries: changed");
+    return lines;
+}
+
+catalog catalog_of(document_set const& documents)
+{
+    std::vector<service_part> parts;
+    for (auto const& [name, part] : documents.parts)
+        parts.push_back(part);
+    catalog made;
+    failure last;
+    made.adopt({{},
+                documents.head.version.number,
+                documents.head.version.content,
+                parts,
+                {},
+                documents.fleet},
+               last);
+    return made;
+}
+
+}  // namespace lagoon
--- a/src/target/target.hpp
+++ b/src/target/target.hpp
@@ -162,6 +162,7 @@
 
     catalog const& configuration() const;
     bool is_ready(time_point now) const;
+    duration platform_age(time_point now) const;
     bool is_leaving() const;
 
     // Whether a stop would cut off nothing.
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -22,6 +22,17 @@
     return now + submit.deadline;
 }
 
+// Whether a path may stand in a request to the back end as it is.
+inline bool is_plain_path(std::string const& path)
+{
+    auto const plain = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') ||
+               (c >= '0' && c <= '9') || c == '/' || c == '-' || c == '_';
+    };
+    return !path.empty() && path.size() <= max_path_size &&
+           std::all_of(path.begin(), path.end(), plain);
+}
+
 inline work_kind kind_of(request_record const& record)
 {
     return {record.caller, hash_bytes(record.path), record.declared};
@@ -61,6 +72,12 @@
     return !this->stopping && this->member.is_ready(this->known, now);
 }
 
+template <target_policy P>
+duration target<P>::platform_age(time_point now) const
+{
+    return this->member.platform_age(now);
+}
+
 template <target_policy P> bool target<P>::is_leaving() const
 {
     return this->stopping;
--- /dev/null
+++ b/src/telemetry/metrics.hpp
@@ -0,0 +1,74 @@
+// What a process counts: how requests ended and how long they took, by
+// service, and what it dropped, by reason. Histograms are Boost.Histogram's.
+//
+// Index
+//   latency_buckets   the shared shape of every latency histogram
+//   service_metrics   the values of one service
+//   process_metrics   the aggregate
+#pragma once
+
+#include "base/failure.hpp"
+#include "protocol/messages.hpp"
+
+#include <array>
+#include <cstddef>
+#include <map>
+#include <vector>
+
+namespace lagoon {
+
+// ---- latency_buckets ----------------------------------------------------
+
+constexpr std::size_t latency_bucket_count = 56;  // with under- and overflow
+constexpr double shortest_latency = 0.1;          // milliseconds
+constexpr double longest_latency = 100'000.0;     // milliseconds
+
+// The upper edge of a bucket in milliseconds; the last has none.
+double latency_bucket_end(std::size_t bucket);
+
+using latency_counts = std::array<std::uint64_t, latency_bucket_count>;
+
+// ---- service_metrics ----------------------------------------------------
+
+struct service_metrics
+{
+    service_id service = {};
+    std::uint64_t finished = 0;
+    std::uint64_t not_run = 0;
+    std::uint64_t unknown = 0;
+    latency_counts total = {};   // arrival to the end, finished requests
+    latency_counts waited = {};  // arrival to the start, finished requests
+    auto operator<=>(service_metrics const&) const = default;
+};
+
+// A count of failures of one kind.
+struct failure_count
+{
+    step at = step::none;
+    reason why = reason::none;
+    std::uint64_t count = 0;
+    auto operator<=>(failure_count const&) const = default;
+};
+
+// ---- process_metrics ----------------------------------------------------
+
+class process_metrics
+{
+public:
+    process_metrics();
+    ~process_metrics();
+
+    void settled(service_id service, request_state state, duration waited,
+                 duration total);
+    void failed(failure const& what);
+
+    std::vector<service_metrics> services() const;
+    std::vector<failure_count> failures() const;
+
+private:
+    struct histograms;
+    std::map<service_id, histograms> by_service;
+    std::map<step, std::map<reason, std::uint64_t>> by_failure = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/telemetry/status.cpp
@@ -0,0 +1,166 @@
+#include "telemetry/status.hpp"
+
+#include <limits>
+
+namespace lagoon {
+
+namespace {
+
+// ---- writing ------------------------------------------------------------
+
+Json::Value number(std::uint64_t value)
+{
+    return Json::Value::UInt64{value};
+}
+
+Json::Value milliseconds(duration value)
+{
+    std::int64_t const count =
+        std::chrono::duration_cast<std::chrono::milliseconds>(value).count();
+    return number(static_cast<std::uint64_t>(std::max<std::int64_t>(count, 0)));
+}
+
+Json::Value json_of(latency_counts const& counts)
+{
+    Json::Value value{Json::arrayValue};
+    for (std::uint64_t const count : counts)
+        value.append(number(count));
+    return value;
+}
+
+Json::Value json_of(service_metrics const& metrics)
+{
+    Json::Value value{Json::objectValue};
+    value["service"] = hex_of(metrics.service.value);
+    value["finished"] = number(metrics.finished);
+    value["not_run"] = number(metrics.not_run);
+    value["unknown"] = number(metrics.unknown);
+    value["total"] = json_of(metrics.total);
+    value["waited"] = json_of(metrics.waited);
+    return value;
+}
+
+Json::Value json_of(failure_count const& count)
+{
+    Json::Value value{Json::objectValue};
+    value["step"] = to_text(count.at);
+    value["reason"] = to_text(count.why);
+    value["count"] = number(count.count);
+    return value;
+}
+
+// ---- parsing ------------------------------------------------------------
+
+template <class Enum>
+Enum named(json_checker& checker, json_place const& object,
+           std::string const& key, Enum last)
+{
+    std::string const text = checker.text(object, key);
+    for (unsigned i = 0; i <= static_cast<unsigned>(last); ++i)
+        if (text == to_text(static_cast<Enum>(i)))
+            return static_cast<Enum>(i);
+    checker.problem(object, "a known " + key);
+    return Enum{};
+}
+
+latency_counts read_counts(json_checker& checker, json_place const& object,
+                           std::string const& key)
+{
+    latency_counts counts{};
+    std::vector<json_place> const items = checker.list(object, key);
+    if (items.size() != counts.size()) {
+        checker.problem(object, std::to_string(counts.size()) + " counts");
+        return counts;
+    }
+    for (std::size_t i = 0; i < items.size(); ++i) {
+        if (items[i].value->isUInt64())
+            counts[i] = items[i].value->asUInt64();
+        else
+            checker.problem(items[i], "a count");
+    }
+    return counts;
+}
+
+service_metrics read_metrics(json_checker& checker, json_place const& object)
+{
+    service_id const service{checker.hex(object, "service").value};
+    std::uint64_t const finished = checker.number(object, "finished");
+    std::uint64_t const not_run = checker.number(object, "not_run");
+    std::uint64_t const unknown = checker.number(object, "unknown");
+    latency_counts const total = read_counts(checker, object, "total");
+    return {service, finished, not_run,
+            unknown, total,    read_counts(checker, object, "waited")};
+}
+
+failure_count read_failure(json_checker& checker, json_place const& object)
+{
+    step const at = named(checker, object, "step", step::call_control);
+    reason const why = named(checker, object, "reason", reason::timed_out);
+    return {at, why, checker.number(object, "count")};
+}
+
+duration read_span(json_checker& checker, json_place const& object,
+                   std::string const& key)
+{
+    constexpr std::uint64_t longest = INT64_MAX / 2000;  // milliseconds
+    return std::chrono::milliseconds{checker.number(object, key, {0, longest})};
+}
+
+process_status read_status(json_checker& checker, json_place const& object)
+{
+    process_status status{
+        .name = checker.text(object, "name"),
+        .role = checker.text(object, "role"),
+        .data_centre = checker.text(object, "data_centre"),
+        .version = {{checker.number(object, "generation")},
+                    checker.hex(object, "digest")},
+        .ready = checker.flag(object, "ready"),
+        .leaving = checker.flag(object, "leaving"),
+        .platform_age = read_span(checker, object, "platform_age_ms"),
+        .up = read_span(checker, object, "up_ms"),
+        .flows = checker.number(object, "flows"),
+        .requests = checker.number(object, "requests"),
+        .packets = checker.number(object, "packets"),
+    };
+    for (json_place const& item : checker.list(object, "services"))
+        status.services.push_back(read_metrics(checker, item));
+    for (json_place const& item : checker.list(object, "failures"))
+        status.failures.push_back(read_failure(checker, item));
+    return status;
+}
+
+}  // namespace
+
+std::string write_status(process_status const& status)
+{
+    Json::Value value{Json::objectValue};
+    value["name"] = status.name;
+    value["role"] = status.role;
+    value["data_centre"] = status.data_centre;
+    value["generation"] = number(status.version.number.value);
+    value["digest"] = hex_of(status.version.content.value);
+    value["ready"] = status.ready;
+    value["leaving"] = status.leaving;
+    value["platform_age_ms"] = milliseconds(status.platform_age);
+    value["up_ms"] = milliseconds(status.up);
+    value["flows"] = number(status.flows);
+    value["requests"] = number(status.requests);
+    value["packets"] = number(status.packets);
+    value["services"] = Json::Value{Json::arrayValue};
+    for (service_metrics const& one : status.services)
+        value["services"].append(json_of(one));
+    value["failures"] = Json::Value{Json::arrayValue};
+    for (failure_count const& one : status.failures)
+        value["failures"].append(json_of(one));
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
+std::optional<process_status> parse_status(json_checker& checker,
+                                           std::string const& text)
+{
+    return parse_checked(checker, text, read_status);
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/tests/stand_ins/back_end.cpp
@@ -0,0 +1,165 @@
+// Stand-in for a back end: runs requests for a while in a few slots, sheds
+// what is too much, honours cancellation by a closed connection, and records
+// every run of every request on standard output: proofs read that record.
+//
+// A request's body steers its run: "ms=20 bytes=2000".
+
+#include "base/random.hpp"
+#include "loop/event_loop.hpp"
+#include "loop/signals.hpp"
+#include "options.hpp"
+
+#include <iostream>
+#include <map>
+
+namespace lagoon::stand_ins {
+
+namespace {
+
+struct running_request
+{
+    time_point due = {};
+    std::string name = {};
+    std::size_t bytes = 0;
+};
+
+std::int64_t field_of(std::string const& body, std::string const& name,
+                      std::int64_t usual)
+{
+    std::size_t const at = body.find(name + "=");
+    if (at == std::string::npos)
+        return usual;
+    return std::strtoll(body.c_str() + at + name.size() + 1, nullptr, 10);
+}
+
+// An answer that differs at every place, so that a mix-up shows.
+std::string make_answer(std::string const& name, std::size_t size)
+{
+    seeded_random random{hash_bytes(name)};
+    std::string answer = name + "\n";
+    while (answer.size() < size) {
+        std::uint64_t const word = random();
+        answer.append(reinterpret_cast<char const*>(&word), sizeof word);
+    }
+    answer.resize(std::max(size, name.size() + 1));
+    return answer;
+}
+
+class back_end_program
+{
+public:
+    back_end_program(peer_address listen, std::size_t slots,
+                     std::size_t reported_load)
+        : slots(slots), reported_load(reported_load),
+          loop(*this, {listen, std::chrono::milliseconds{2}})
+    {
+    }
+
+    void run()
+    {
+        this->loop.run();
+    }
+
+    bool wants_to_stop() const
+    {
+        return stop_signals() > 0;
+    }
+
+    void on_http_request(exchange_id exchange, http_request const& request)
+    {
+        if (request.path == "/load") {
+            // May lie: the number is whatever the test said.
+            this->loop.reply(exchange,
+                             {200, "text/plain",
+                              std::to_string(this->reported_load) + "\n", 0});
+            return;
+        }
+        if (!request.path.starts_with("/run/")) {
+            this->loop.reply(exchange, {404, "text/plain", "", 0});
+            return;
+        }
+        if (this->running.size() >= this->slots) {
+            this->loop.reply(exchange, {503, "text/plain", "", 1});
+            return;
+        }
+        this->begin(exchange, request);
+    }
+
+    void on_http_gone(exchange_id exchange)
+    {
+        auto const found = this->running.find(exchange);
+        if (found == this->running.end())
+            return;
+        std::cout << "cancelled " << found->second.name << std::endl;
+        this->running.erase(found);
+    }
+
+    void on_tick()
+    {
+        time_point const now = read_clock();
+        std::vector<exchange_id> due;
+        for (auto const& [exchange, one] : this->running)
+            if (one.due <= now)
+                due.push_back(exchange);
+        for (exchange_id const exchange : due)
+            this->finish(exchange);
+    }
+
+    void on_datagram(lane, peer_address, std::string_view) {}
+
+    void on_http_bytes(exchange_id, std::string_view) {}
+
+    void on_http_end(exchange_id, http_result const&) {}
+
+private:
+    void begin(exchange_id exchange, http_request const& request)
+    {
+        std::string const name = request.path.substr(5) + " " +
+                                 query_field(request.query, "flow") + " " +
+                                 query_field(request.query, "number");
+        std::int64_t const wait = field_of(request.body, "ms", 20);
+        std::int64_t const bytes = field_of(request.body, "bytes", 200);
+        std::string const tag = request.body.substr(0, request.body.find(' '));
+        std::cout << "run " << name << " " << tag << std::endl;
+        this->running[exchange] = {read_clock() +
+                                       std::chrono::milliseconds{wait},
+                                   name, static_cast<std::size_t>(bytes)};
+    }
+
+    void finish(exchange_id exchange)
+    {
+        running_request const done = this->running[exchange];
+        this->running.erase(exchange);
+        this->loop.reply(exchange, {200, "application/octet-stream",
+                                    make_answer(done.name, done.bytes), 0});
+        std::cout << "done " << done.name << std::endl;
+    }
+
+    std::size_t slots;
+    std::size_t reported_load;
+    std::map<exchange_id, running_request> running = {};
+    event_loop<back_end_program> loop;
+};
+
+}  // namespace
+
+}  // namespace lagoon::stand_ins
+
+int main(int count, char** arguments)
+{
+    using namespace lagoon;
+    using namespace lagoon::stand_ins;
+    po::options_description options{"stand-in for a back end"};
+    options.add_options()("listen", po::value<std::string>()->required(),
+                          "address")(
+        "slots", po::value<std::size_t>()->default_value(2),
+        "requests at once")("load", po::value<std::size_t>()->default_value(0),
+                            "load that it claims");
+    po::variables_map const given = read_options(count, arguments, options);
+    catch_stop_signals();
+    back_end_program program{address_option(given, "listen"),
+                             given["slots"].as<std::size_t>(),
+                             given["load"].as<std::size_t>()};
+    program.run();
+    return 0;
+}
--- /dev/null
+++ b/tests/stand_ins/options.hpp
@@ -0,0 +1,47 @@
+// Command lines of the stand-ins: `--name value` pairs, all texts.
+//
+// Index
+//   read_options   the pairs, over the defaults
+#pragma once
+
+#include "platform/checked_json.hpp"
+
+#include <boost/program_options.hpp>
+
+#include <cstdlib>
+#include <iostream>
+#include <string>
+
+namespace lagoon::stand_ins {
+
+namespace po = boost::program_options;
+
+// ---- read_options -------------------------------------------------------
+
+inline po::variables_map read_options(int count, char** arguments,
+                                      po::options_description const& options)
+{
+    po::variables_map given;
+    try {
+        po::store(po::parse_command_line(count, arguments, options), given);
+        po::notify(given);
+    } catch (po::error const& error) {
+        std::cerr << arguments[0] << ": " << error.what() << '\n' << options;
+        std::exit(2);
+    }
+    return given;
+}
+
+inline peer_address address_option(po::variables_map const& given,
+                                   std::string const& name)
+{
+    std::optional<peer_address> const address =
+        parse_address(given[name].as<std::string>());
+    if (!address) {
+        std::cerr << "--" << name << " takes an address\n";
+        std::exit(2);
+    }
+    return *address;
+}
+
+}  // namespace lagoon::stand_ins
