--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -7,9 +7,9 @@
 
 namespace detail {
 
-constexpr std::size_t service_buffer = 64 * 1024;  // bytes read at once
-constexpr std::size_t reply_chunk = 32 * 1024;     // bytes written at once
-constexpr std::size_t head_size = 1024;            // bytes of a reply's head
+constexpr std::size_t service_buffer = 64U << 10U;  // bytes read at once
+constexpr std::size_t reply_chunk = 32U << 10U;     // bytes written at once
+constexpr std::size_t head_size = 1024;             // bytes of a reply's head
 constexpr int datagrams_per_wakeup = 64;
 constexpr unsigned most_descriptors = 2048;
 constexpr std::size_t largest_request = 4U << 20U;  // bytes of a body
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -136,7 +136,8 @@
     std::optional<time_point> fetching_since = {};
     std::optional<time_point> reading_since = {};
     bool watching = false;
-    time_point next_read;
+    time_point earliest_read;  // none before this
+    std::optional<time_point> last_read = {};
     time_point waiting_since = {};   // start or end of a pause
     bool peer_compared = false;      // since then
     bool platform_compared = false;  // since then
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -8,11 +8,11 @@
                           time_point now)
     : settings(std::move(settings)), random(std::move(random)), last_tick(now),
       next_exchange(now), platform_contact(now - no_platform_contact),
-      next_read(now)
+      earliest_read(now)
 {
     this->begin_wait(now);
     if (!this->settings.seeds.empty())
-        this->next_read = now + first_read_delay;
+        this->earliest_read = now + first_read_delay;
 }
 
 template <random_source R> void membership<R>::begin_wait(time_point now)
@@ -128,7 +128,7 @@
     this->reading_since.reset();
     this->platform_compared =
         true;  // it was asked; there is no more to wait for
-    this->next_read = now + reading_step;
+    this->earliest_read = now + reading_step;
 }
 
 template <random_source R>
@@ -147,12 +147,16 @@
     bool const first = known.version() == catalog_version{};
     bool const news_is_old = this->platform_age(now) > platform_news_lifetime;
     bool const wanted = plan.watches || news_is_old;
-    if (now < this->next_read || !wanted)
+    // The rank may have changed since the last read, and the interval with it.
+    bool const too_soon =
+        now < this->earliest_read ||
+        (this->last_read && now < *this->last_read + plan.interval);
+    if (too_soon || !wanted)
         return;
     // The first read, and the first after a pause, doesn't wait for a change.
     this->watching = plan.watches && !first && this->platform_compared;
     this->reading_since = now;
-    this->next_read = now + plan.interval;
+    this->last_read = now;
     effects.push_back(
         read_platform{known.version().number, this->watching,
                       this->watching ? watch_lifetime : read_timeout});
@@ -166,7 +170,8 @@
         this->begin_wait(now);
         this->reading_since.reset();
         this->fetching_since.reset();
-        this->next_read = now;
+        this->earliest_read = now;
+        this->last_read.reset();
         this->next_exchange = now;
     }
     this->last_tick = now;
--- a/src/programs/entry_program.cpp
+++ b/src/programs/entry_program.cpp
@@ -19,7 +19,7 @@
 
 }  // namespace
 
-entry_program::entry_program(entry_settings settings)
+entry_program::entry_program(entry_settings const& settings)
     : settings(settings), started(read_clock()),
       loop(*this, {settings.process.control, std::chrono::milliseconds{100}}),
       role(peers_of(settings), seeded_random{random_word()}, this->started),
--- a/src/programs/entry_program.hpp
+++ b/src/programs/entry_program.hpp
@@ -27,7 +27,7 @@
 class entry_program
 {
 public:
-    explicit entry_program(entry_settings settings);
+    explicit entry_program(entry_settings const& settings);
 
     // Binds the sockets; false when one can't be had.
     bool open(failure& last);
--- a/src/programs/target_program.cpp
+++ b/src/programs/target_program.cpp
@@ -35,7 +35,7 @@
 
 }  // namespace
 
-target_program::target_program(slot_settings settings)
+target_program::target_program(slot_settings const& settings)
     : settings(settings), started(read_clock()),
       loop(*this, {settings.process.control, std::chrono::milliseconds{20}}),
       role(role_settings(settings), peers_of(settings),
--- a/src/programs/target_program.hpp
+++ b/src/programs/target_program.hpp
@@ -23,7 +23,7 @@
 class target_program
 {
 public:
-    explicit target_program(slot_settings settings);
+    explicit target_program(slot_settings const& settings);
 
     // Binds the sockets; false when one can't be had.
     bool open(failure& last);
--- /dev/null
+++ b/tests/fakes/fake_fleet.hpp
@@ -0,0 +1,940 @@
+// The second front end: real entries, targets and sessions over a queue of
+// events in virtual time, with a network, a platform and back ends that fail
+// as a test says. No socket, clock, thread or codec.
+//
+// Index
+//   fake_run        what a back end records of a run
+//   fake_network    what it does to packets, by a seed
+//   fake_fleet      the front end
+#pragma once
+
+#include "caller/session.hpp"
+#include "entry/entry.hpp"
+#include "target/target.hpp"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoon::fakes {
+
+using namespace std::chrono_literals;
+
+// ---- fake_run -----------------------------------------------------------
+
+struct fake_run
+{
+    std::string tag = {};  // first word of the request's body
+    service_id service = {};
+    target_id target = {};
+    request_key request = {};
+    time_point at = {};
+    auto operator<=>(fake_run const&) const = default;
+};
+
+// ---- fake_network -------------------------------------------------------
+
+struct fake_network
+{
+    double drop = 0;               // share of packets
+    double repeat = 0;             // share of packets
+    duration least_delay = 500us;  // one way
+    duration most_delay = 1500us;  // later than others: out of order
+    auto operator<=>(fake_network const&) const = default;
+};
+
+enum class fake_platform_mode : std::uint8_t
+{
+    good,
+    down,
+    stale
+};
+
+// Where a packet goes, or a socket that has lost its way.
+struct one_way
+{
+    peer_address from = {};
+    peer_address to = {};
+    auto operator<=>(one_way const&) const = default;
+};
+
+struct told_outcome
+{
+    std::string tag = {};
+    request_outcome outcome = {};
+    time_point at = {};
+    auto operator<=>(told_outcome const&) const = default;
+};
+
+// ---- fake_fleet ---------------------------------------------------------
+
+template <target_policy P = standard_policy> class fake_fleet
+{
+public:
+    explicit fake_fleet(std::uint64_t seed) : random(seed) {}
+
+    // -- configuration
+
+    // Publishes a catalog; processes learn of it by reading or from peers.
+    void publish(std::vector<service_part> const& parts,
+                 std::optional<std::uint64_t> number = std::nullopt)
+    {
+        generation const next{
+            number.value_or(this->published.version().number.value + 1)};
+        std::vector<service_part> stamped;
+        for (service_part part : parts) {
+            part.changed_at = next;
+            std::sort(part.callers.begin(), part.callers.end());
+            stamped.push_back(part);
+        }
+        fleet_part fleet{next, {}};
+        for (auto const& [name, node] : this->entries)
+            fleet.entries.push_back(node.record);
+        std::sort(fleet.entries.begin(), fleet.entries.end());
+        this->published = whole_catalog(next, stamped, fleet);
+    }
+
+    // -- processes
+
+    peer_address add_entry(std::string const& name)
+    {
+        auto const index = static_cast<std::uint32_t>(this->entries.size());
+        peer_address const exchange{entry_ip + index, exchange_port};
+        entry_record const record{process_named(name),
+                                  name,
+                                  "zg-a",
+                                  exchange,
+                                  {entry_ip + index, control_port}};
+        this->entries[name] = {record, nullptr, false, {}};
+        this->start_entry(name);
+        return exchange;
+    }
+
+    void start_entry(std::string const& name)
+    {
+        entry_node& node = this->entries[name];
+        node.core = std::make_unique<entry<seeded_random>>(
+            membership_settings{node.record.id, node.record.data_centre,
+                                node.record.exchange, node.record.control,
+                                this->seeds()},
+            seeded_random{this->random()}, this->time);
+        node.paused = false;
+        node.inbox.clear();
+        this->schedule(this->time, tick_due{name, ++this->ticket});
+        node.ticket = this->ticket;
+    }
+
+    target_record add_target(std::string const& name, std::uint32_t slots,
+                             duration cold = {})
+    {
+        auto const index = static_cast<std::uint32_t>(this->targets.size());
+        target_record const record{target_named(name),
+                                   name,
+                                   "zg-a",
+                                   {target_ip + index, packet_port},
+                                   {target_ip + index, control_port},
+                                   slots,
+                                   target_state::serving};
+        this->targets[name] = {record, cold, nullptr, false, {}, {}, 0};
+        this->start_target(name);
+        return record;
+    }
+
+    void start_target(std::string const& name)
+    {
+        target_node& node = this->targets[name];
+        token_key key{};
+        key[0] = static_cast<std::uint8_t>(this->random());
+        key[1] = static_cast<std::uint8_t>(this->random());
+        node.core = std::make_unique<target<P>>(
+            target_settings{.self = node.record.id,
+                            .address = node.record.address,
+                            .key = key,
+                            .started = {this->random()},
+                            .admission = {.slots = node.record.slots,
+                                          .most_waiting = this->most_waiting,
+                                          .cold_span = node.cold},
+                            .flows = {}},
+            membership_settings{process_named(name), "zg-a",
+                                node.record.address, node.record.control,
+                                this->seeds()},
+            typename P::random{this->random()}, this->time);
+        node.paused = false;
+        node.inbox.clear();
+        this->schedule(this->time, tick_due{name, ++this->ticket});
+        node.ticket = this->ticket;
+    }
+
+    void kill(std::string const& name)
+    {
+        if (this->entries.contains(name))
+            this->entries[name].core.reset();
+        else
+            this->targets[name].core.reset();
+    }
+
+    // A paused process takes nothing in; what comes waits for it.
+    void pause(std::string const& name)
+    {
+        if (this->entries.contains(name))
+            this->entries[name].paused = true;
+        else
+            this->targets[name].paused = true;
+    }
+
+    // It wakes to all that waited, before it looks at its clock.
+    void wake(std::string const& name)
+    {
+        if (this->entries.contains(name))
+            this->wake_node(this->entries[name], name);
+        else
+            this->wake_node(this->targets[name], name);
+    }
+
+    void stop(std::string const& name)
+    {
+        if (this->entries.contains(name))
+            this->feed_entry(name, entry_event{stop_asked{}});
+        else
+            this->feed_target(name, target_event{stop_asked{}});
+    }
+
+    // -- callers
+
+    // A session with its own port; requests on it are begun by `begin`.
+    std::size_t add_caller(std::string const& service,
+                           std::string const& caller)
+    {
+        std::size_t const index = this->callers.size();
+        this->callers.push_back(std::make_unique<caller_node>(
+            session_settings{service_named(service), caller_named(caller)},
+            seeded_random{this->random()}, this->budget, index));
+        this->schedule(this->time, caller_tick{index});
+        return index;
+    }
+
+    void begin(std::size_t caller, request_wish const& wish)
+    {
+        caller_node& node = *this->callers[caller];
+        node.tag = wish.body.substr(0, wish.body.find(' '));
+        this->feed_caller(caller, session_event{begin_request{wish}});
+    }
+
+    bool is_busy(std::size_t caller) const
+    {
+        return this->callers[caller]->core.is_busy();
+    }
+
+    // -- time
+
+    void run_for(duration span)
+    {
+        time_point const until = this->time + span;
+        while (!this->queue.empty() && this->queue.top().at <= until)
+            this->step();
+        this->time = until;
+    }
+
+    // Until every caller has been told its outcome, or the span is over.
+    bool run_until_quiet(duration most)
+    {
+        time_point const until = this->time + most;
+        while (this->any_busy() && this->time < until)
+            this->run_for(10ms);
+        return !this->any_busy();
+    }
+
+    time_point now() const
+    {
+        return this->time;
+    }
+
+    // -- what a test looks at
+
+    entry<seeded_random>& entry_named(std::string const& name)
+    {
+        return *this->entries.at(name).core;
+    }
+
+    target<P>& target_core(std::string const& name)
+    {
+        return *this->targets.at(name).core;
+    }
+
+    std::size_t runs_of(std::string const& tag) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->runs.begin(), this->runs.end(), [&tag](auto const& one) {
+                return one.tag == tag;
+            }));
+    }
+
+    told_outcome const* outcome_of(std::string const& tag) const
+    {
+        for (told_outcome const& one : this->told)
+            if (one.tag == tag)
+                return &one;
+        return nullptr;
+    }
+
+    std::size_t alive_with(catalog_version const& version) const
+    {
+        std::size_t count = 0;
+        for (auto const& [name, node] : this->entries)
+            count +=
+                node.core && node.core->configuration().version() == version
+                    ? 1U
+                    : 0U;
+        for (auto const& [name, node] : this->targets)
+            count +=
+                node.core && node.core->configuration().version() == version
+                    ? 1U
+                    : 0U;
+        return count;
+    }
+
+    // Packets between these two are lost from now on, in this direction.
+    void cut(peer_address from, peer_address to)
+    {
+        this->cuts.insert({from, to});
+    }
+
+    void mend_all()
+    {
+        this->cuts.clear();
+        this->apart.clear();
+    }
+
+    // The named processes reach only one another.
+    void split(std::set<std::string> const& side)
+    {
+        this->apart = side;
+    }
+
+    // The fabric sends packets to all entries, dead ones included, but not to
+    // those in here.
+    std::set<std::string> withdrawn = {};
+    fake_network network = {};
+    fake_platform_mode platform = fake_platform_mode::good;
+    catalog published = {};
+    catalog stale_copy = {};
+    std::vector<fake_run> runs = {};
+    std::vector<told_outcome> told = {};
+    std::vector<note_failure> notes = {};
+    std::vector<request_settled> settled = {};
+    std::set<std::string> answers_lost_at = {};  // back ends, by target name
+    std::map<std::string, double> slower = {};   // factor, by target name
+    std::map<std::string, duration> busy = {};   // slot time, by target name
+    std::size_t platform_reads = 0;
+    std::size_t control_packets = 0;
+    std::size_t packets_sent = 0;
+    std::size_t most_waiting = 256;
+    bool keeps_answers = true;  // off: less memory in long runs
+
+private:
+    // -- addresses
+
+    static constexpr std::uint32_t entry_ip = 0x0A000001;   // 10.0.0.1 on
+    static constexpr std::uint32_t target_ip = 0x0A010001;  // 10.1.0.1 on
+    static constexpr std::uint32_t caller_ip = 0x0A020001;  // 10.2.0.1 on
+    static constexpr std::uint16_t caller_port = 1;
+    static constexpr std::uint16_t exchange_port = 2;
+    static constexpr std::uint16_t lane_port = 3;  // and those after it
+    static constexpr std::uint16_t packet_port = 10;
+    static constexpr std::uint16_t control_port = 20;
+    static constexpr duration node_tick = 20ms;
+    static constexpr duration control_delay = 3ms;
+
+    // -- events
+
+    struct tick_due
+    {
+        std::string name = {};
+        std::uint64_t ticket = 0;  // of the process's present life
+    };
+
+    struct caller_tick
+    {
+        std::size_t caller = 0;
+    };
+
+    struct to_entry
+    {
+        std::string name = {};
+        entry_event event = {};
+    };
+
+    struct to_target
+    {
+        std::string name = {};
+        target_event event = {};
+    };
+
+    struct to_caller
+    {
+        std::size_t caller = 0;
+        std::uint16_t port = 0;
+        answer_message message = {};
+    };
+
+    struct run_due
+    {
+        std::string target = {};
+        run_id run = {};
+        std::uint64_t ticket = 0;  // of the process that started it
+        std::size_t size = 0;      // bytes of the answer
+    };
+
+    using action = std::variant<tick_due, caller_tick, to_entry, to_target,
+                                to_caller, run_due>;
+
+    struct queued_action
+    {
+        time_point at = {};
+        std::uint64_t order = 0;
+        action what = {};
+
+        bool operator<(queued_action const& other) const
+        {
+            // The queue's top is its largest: the earliest.
+            if (this->at != other.at)
+                return this->at > other.at;
+            return this->order > other.order;
+        }
+    };
+
+    // -- nodes
+
+    struct entry_node
+    {
+        entry_record record = {};
+        std::unique_ptr<entry<seeded_random>> core = {};
+        bool paused = false;
+        std::vector<entry_event> inbox = {};
+        std::uint64_t ticket = 0;
+    };
+
+    struct target_node
+    {
+        target_record record = {};
+        duration cold = {};
+        std::unique_ptr<target<P>> core = {};
+        bool paused = false;
+        std::vector<target_event> inbox = {};
+        std::set<run_id> running = {};  // at the back end
+        std::uint64_t ticket = 0;
+    };
+
+    struct caller_node
+    {
+        caller_node(session_settings settings, seeded_random random,
+                    retry_budget& budget, std::size_t index)
+            : core(settings, random, budget),
+              address{caller_ip + static_cast<std::uint32_t>(index), 1000}
+        {
+        }
+
+        session<seeded_random> core;
+        peer_address address;
+        std::string tag = {};
+    };
+
+    static catalog whole_catalog(generation number,
+                                 std::vector<service_part> const& parts,
+                                 fleet_part const& fleet)
+    {
+        std::uint64_t sum = digest_of(fleet).value;
+        for (service_part const& part : parts)
+            sum += digest_of(part).value;
+        catalog made;
+        failure last;
+        made.adopt({{}, number, {sum}, parts, {}, fleet}, last);
+        return made;
+    }
+
+    std::vector<peer_address> seeds() const
+    {
+        std::vector<peer_address> all;
+        for (auto const& [name, node] : this->entries)
+            all.push_back(node.record.exchange);
+        return all;
+    }
+
+    void schedule(time_point at, action const& what)
+    {
+        this->queue.push({at, ++this->order, what});
+    }
+
+    bool any_busy() const
+    {
+        return std::any_of(this->callers.begin(), this->callers.end(),
+                           [](auto const& one) {
+                               return one->core.is_busy();
+                           });
+    }
+
+    // -- the network
+
+    double unit()
+    {
+        return std::uniform_real_distribution<double>{0, 1}(this->random);
+    }
+
+    duration delay()
+    {
+        std::int64_t const spread =
+            (this->network.most_delay - this->network.least_delay).count();
+        return this->network.least_delay +
+               duration{static_cast<std::int64_t>(this->unit() *
+                                                  static_cast<double>(spread))};
+    }
+
+    bool is_split(std::string const& from, std::string const& to) const
+    {
+        return !this->apart.empty() &&
+               this->apart.contains(from) != this->apart.contains(to);
+    }
+
+    void carry(one_way const& way, action const& what)
+    {
+        ++this->packets_sent;
+        if (this->cuts.contains(way) || this->unit() < this->network.drop)
+            return;
+        this->schedule(this->time + this->delay(), what);
+        if (this->unit() < this->network.repeat)
+            this->schedule(this->time + this->delay() + 2ms, what);
+    }
+
+    std::optional<std::string> entry_at(std::uint32_t ip) const
+    {
+        for (auto const& [name, node] : this->entries)
+            if (node.record.exchange.ip == ip)
+                return name;
+        return std::nullopt;
+    }
+
+    std::optional<std::string> target_at(peer_address address) const
+    {
+        for (auto const& [name, node] : this->targets)
+            if (node.record.address == address)
+                return name;
+        return std::nullopt;
+    }
+
+    std::string name_at(peer_address address) const
+    {
+        if (auto const name = this->entry_at(address.ip))
+            return *name;
+        return this->target_at(address).value_or("");
+    }
+
+    // -- steps
+
+    void step()
+    {
+        queued_action const next = this->queue.top();
+        this->queue.pop();
+        this->time = next.at;
+        std::visit(
+            [this](auto const& what) {
+                this->happen(what);
+            },
+            next.what);
+    }
+
+    void happen(tick_due const& what)
+    {
+        bool alive = false;
+        if (this->entries.contains(what.name)) {
+            entry_node const& node = this->entries[what.name];
+            alive = node.core && node.ticket == what.ticket;
+            if (alive && !node.paused)
+                this->feed_entry(what.name, entry_event{clock_tick{}});
+        } else {
+            target_node const& node = this->targets[what.name];
+            alive = node.core && node.ticket == what.ticket;
+            if (alive && !node.paused)
+                this->feed_target(what.name, target_event{clock_tick{}});
+        }
+        if (alive)
+            this->schedule(this->time + node_tick, what);
+    }
+
+    void happen(caller_tick const& what)
+    {
+        this->feed_caller(what.caller, session_event{time_passed{}});
+        this->schedule(this->time + 10ms, what);
+    }
+
+    void happen(to_entry const& what)
+    {
+        entry_node& node = this->entries[what.name];
+        if (node.core && node.paused)
+            node.inbox.push_back(what.event);
+        else if (node.core)
+            this->feed_entry(what.name, what.event);
+    }
+
+    void happen(to_target const& what)
+    {
+        target_node& node = this->targets[what.name];
+        if (node.core && node.paused)
+            node.inbox.push_back(what.event);
+        else if (node.core)
+            this->feed_target(what.name, what.event);
+    }
+
+    void happen(to_caller const& what)
+    {
+        caller_node const& node = *this->callers[what.caller];
+        if (node.address.port == what.port)
+            this->feed_caller(what.caller,
+                              session_event{answer_arrived{what.message}});
+    }
+
+    void happen(run_due const& what)
+    {
+        target_node& node = this->targets[what.target];
+        node.running.erase(what.run);
+        bool const same_life = node.core && node.ticket == what.ticket;
+        if (!same_life)
+            return;
+        bool const lost = this->answers_lost_at.contains(what.target);
+        run_outcome const outcome =
+            lost ? run_outcome::lost : run_outcome::completed;
+        if (!lost)
+            this->happen(to_target{
+                what.target, target_event{run_bytes{
+                                 what.run, std::string(what.size, 'a')}}});
+        this->happen(to_target{what.target,
+                               target_event{run_ended{what.run, outcome, {}}}});
+    }
+
+    template <class Node> void wake_node(Node& node, std::string const& name)
+    {
+        node.paused = false;
+        auto const waiting = std::move(node.inbox);
+        node.inbox.clear();
+        for (auto const& event : waiting) {
+            if constexpr (std::is_same_v<Node, entry_node>)
+                this->feed_entry(name, event);
+            else
+                this->feed_target(name, event);
+        }
+    }
+
+    // -- roles
+
+    void feed_entry(std::string const& name, entry_event const& event)
+    {
+        entry_node& node = this->entries[name];
+        for (entry_effect const& effect : node.core->on(event, this->time))
+            std::visit(
+                [this, &name](auto const& one) {
+                    this->perform(name, one);
+                },
+                effect);
+    }
+
+    void feed_target(std::string const& name, target_event const& event)
+    {
+        target_node& node = this->targets[name];
+        for (target_effect const& effect : node.core->on(event, this->time))
+            std::visit(
+                [this, &name](auto const& one) {
+                    this->perform(name, one);
+                },
+                effect);
+    }
+
+    void feed_caller(std::size_t caller, session_event const& event)
+    {
+        caller_node& node = *this->callers[caller];
+        for (session_effect const& effect : node.core.on(event, this->time))
+            std::visit(
+                [this, caller](auto const& one) {
+                    this->perform(caller, one);
+                },
+                effect);
+    }
+
+    // -- effects of callers
+
+    void perform(std::size_t caller, send_packet const& effect)
+    {
+        std::vector<std::string> reachable;
+        for (auto const& [name, node] : this->entries)
+            if (!this->withdrawn.contains(name))
+                reachable.push_back(name);
+        if (reachable.empty())
+            return;
+        std::string const& name =
+            reachable[pick_below(this->random, reachable.size())];
+        peer_address const from = this->callers[caller]->address;
+        peer_address const to{this->entries[name].record.exchange.ip,
+                              caller_port};
+        this->carry(
+            {from, to},
+            to_entry{name, entry_event{caller_packet{from, effect.message}}});
+    }
+
+    void perform(std::size_t caller, rebind_port const&)
+    {
+        caller_node& node = *this->callers[caller];
+        node.address = {node.address.ip,
+                        static_cast<std::uint16_t>(node.address.port + 1)};
+    }
+
+    void perform(std::size_t, report_progress const&) {}
+
+    void perform(std::size_t caller, request_outcome const& effect)
+    {
+        request_outcome kept = effect;
+        if (!this->keeps_answers)
+            kept.answer.clear();
+        this->told.push_back({this->callers[caller]->tag, kept, this->time});
+    }
+
+    // -- effects of entries
+
+    void perform(std::string const& name, send_inward const& effect)
+    {
+        std::optional<std::string> const to = this->target_at(effect.to);
+        if (!to || this->is_split(name, *to))
+            return;
+        peer_address const from{
+            this->entries[name].record.exchange.ip,
+            static_cast<std::uint16_t>(lane_port + effect.by.value)};
+        this->carry(
+            {from, effect.to},
+            to_target{*to, target_event{inward_arrived{from, effect.packet}}});
+    }
+
+    void perform(std::string const& name, send_to_caller const& effect)
+    {
+        std::size_t const caller = effect.to.ip - caller_ip;
+        if (caller >= this->callers.size())
+            return;
+        peer_address const from{this->entries[name].record.exchange.ip,
+                                caller_port};
+        this->carry({from, effect.to},
+                    to_caller{caller, effect.to.port, effect.message});
+    }
+
+    // -- effects of targets
+
+    void perform(std::string const& name, send_outward const& effect)
+    {
+        std::optional<std::string> const to = this->entry_at(effect.to.ip);
+        if (!to || this->is_split(name, *to))
+            return;
+        peer_address const from = this->targets[name].record.address;
+        this->carry(
+            {from, effect.to},
+            to_entry{*to, entry_event{target_packet{from, effect.packet}}});
+    }
+
+    void perform(std::string const& name, hand_over const& effect)
+    {
+        std::optional<std::string> const to = this->target_at(effect.to);
+        if (!to || this->is_split(name, *to))
+            return;
+        peer_address const from = this->targets[name].record.address;
+        this->carry(
+            {from, effect.to},
+            to_target{*to, target_event{inward_arrived{from, effect.packet}}});
+    }
+
+    static std::int64_t field_of(std::string const& body,
+                                 std::string const& name, std::int64_t usual)
+    {
+        std::size_t const at = body.find(name + "=");
+        return at == std::string::npos
+                   ? usual
+                   : std::atoll(body.c_str() + at + name.size() + 1);
+    }
+
+    void perform(std::string const& name, start_run const& effect)
+    {
+        target_node& node = this->targets[name];
+        if (node.running.size() >= node.record.slots) {
+            this->schedule(
+                this->time + 100us,
+                to_target{name, target_event{run_ended{
+                                    effect.run, run_outcome::shed, 100ms}}});
+            return;
+        }
+        std::string const tag = effect.body.substr(0, effect.body.find(' '));
+        this->runs.push_back(
+            {tag, effect.service, node.record.id, effect.request, this->time});
+        double const factor =
+            this->slower.contains(name) ? this->slower[name] : 1.0;
+        auto const wait = duration{static_cast<std::int64_t>(
+            factor * static_cast<double>(field_of(effect.body, "us", 20'000)))};
+        this->busy[name] += wait;
+        node.running.insert(effect.run);
+        this->schedule(this->time + wait,
+                       run_due{name, effect.run, node.ticket,
+                               static_cast<std::size_t>(
+                                   field_of(effect.body, "bytes", 100))});
+    }
+
+    void perform(std::string const& name, cancel_run const& effect)
+    {
+        target_node& node = this->targets[name];
+        if (node.running.erase(effect.run) > 0)
+            this->schedule(
+                this->time + 100us,
+                to_target{name, target_event{run_ended{
+                                    effect.run, run_outcome::lost, {}}}});
+    }
+
+    void perform(std::string const&, request_settled const& effect)
+    {
+        this->settled.push_back(effect);
+    }
+
+    // -- effects of both
+
+    void deliver(std::string const& to, digest_packet const& packet)
+    {
+        if (this->entries.contains(to))
+            this->happen(to_entry{to, entry_event{packet}});
+        else
+            this->happen(to_target{to, target_event{packet}});
+    }
+
+    peer_address exchange_of(std::string const& name) const
+    {
+        auto const found = this->entries.find(name);
+        return found != this->entries.end()
+                   ? found->second.record.exchange
+                   : this->targets.at(name).record.address;
+    }
+
+    void perform(std::string const& name, send_digest const& effect)
+    {
+        ++this->control_packets;
+        std::string const to = this->name_at(effect.to);
+        if (to.empty() || this->is_split(name, to))
+            return;
+        digest_packet const packet{this->exchange_of(name), effect.what};
+        if (this->entries.contains(to))
+            this->carry({packet.from, effect.to},
+                        to_entry{to, entry_event{packet}});
+        else
+            this->carry({packet.from, effect.to},
+                        to_target{to, target_event{packet}});
+    }
+
+    template <class Event> void later(std::string const& name, Event event)
+    {
+        if (this->entries.contains(name))
+            this->schedule(this->time + control_delay,
+                           to_entry{name, entry_event{event}});
+        else
+            this->schedule(this->time + control_delay,
+                           to_target{name, target_event{event}});
+    }
+
+    catalog const* catalog_at(peer_address control) const
+    {
+        for (auto const& [name, node] : this->entries)
+            if (node.record.control == control && node.core && !node.paused)
+                return &node.core->configuration();
+        for (auto const& [name, node] : this->targets)
+            if (node.record.control == control && node.core && !node.paused)
+                return &node.core->configuration();
+        return nullptr;
+    }
+
+    void perform(std::string const& name, fetch_from_peer const& effect)
+    {
+        catalog const* peer = this->catalog_at(effect.control);
+        bool const reachable =
+            peer != nullptr &&
+            !this->is_split(name,
+                            this->name_at({effect.control.ip, packet_port}));
+        if (reachable)
+            this->later(name,
+                        change_arrived{change_source::peer, effect.control,
+                                       peer->changes_since(effect.since)});
+        else
+            this->later(name, change_missed{change_source::peer, {}});
+    }
+
+    void perform(std::string const& name, read_platform const& effect)
+    {
+        ++this->platform_reads;
+        if (this->platform == fake_platform_mode::down) {
+            this->later(name, change_missed{change_source::platform, {}});
+            return;
+        }
+        catalog const& shown = this->platform == fake_platform_mode::stale
+                                   ? this->stale_copy
+                                   : this->published;
+        bool const newer = shown.version().number > effect.since;
+        std::optional<catalog_change> change;
+        if (newer)
+            change = shown.changes_since(effect.since);
+        this->later(name, change_arrived{change_source::platform, {}, change});
+    }
+
+    void perform(std::string const&, generation_adopted const&) {}
+
+    void perform(std::string const&, note_failure const& effect)
+    {
+        this->notes.push_back(effect);
+    }
+
+    seeded_random random;
+    time_point time{1s};
+    std::uint64_t order = 0;
+    std::uint64_t ticket = 0;
+    std::priority_queue<queued_action> queue = {};
+    std::map<std::string, entry_node> entries = {};
+    std::map<std::string, target_node> targets = {};
+    std::vector<std::unique_ptr<caller_node>> callers = {};
+    retry_budget budget{retry_allowance{}};
+    std::set<one_way> cuts = {};
+    std::set<std::string> apart = {};
+};
+
+// A service as tests name it.
+inline service_part make_service(std::string const& name,
+                                 std::vector<std::string> const& callers,
+                                 std::vector<target_record> const& targets)
+{
+    std::vector<caller_id> ids;
+    ids.reserve(callers.size());
+    for (std::string const& caller : callers)
+        ids.push_back(caller_named(caller));
+    return {service_named(name), name, {}, ids, targets};
+}
+
+inline target_record with_state(target_record const& target, target_state state)
+{
+    target_record changed = target;
+    changed.state = state;
+    return changed;
+}
+
+// A request as tests name it; the tag comes first in its body.
+inline request_wish make_wish(std::string const& tag, bool idempotent,
+                              duration runs_for = 20ms, std::size_t bytes = 100,
+                              duration deadline = 10s)
+{
+    return {idempotent ? "notice" : "renewal",
+            tag + " us=" + std::to_string(runs_for.count()) +
+                " bytes=" + std::to_string(bytes),
+            idempotent,
+            deadline,
+            {}};
+}
+
+}  // namespace lagoon::fakes
--- /dev/null
+++ b/tests/stories/flow_story.cpp
@@ -0,0 +1,233 @@
+#include "flow/ranking.hpp"
+#include "flow/table.hpp"
+#include "flow/token.hpp"
+#include "story.hpp"
+
+#include <map>
+
+using namespace lagoon;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct a_mint : Utest
+{
+    token_mint mint{target_named("m1"), {77}, {1, 2, 3}};
+    failure last = {};
+    time_point now{10s};
+};
+
+struct an_issued_token : a_mint
+{
+    flow_token token =
+        this->mint.issue(service_named("members"), {5}, this->now);
+
+    // Why the token isn't taken, or none.
+    reason refused(flow_token const& altered)
+    {
+        this->last = {};
+        this->mint.verify(altered, this->last);
+        return this->last.why;
+    }
+};
+
+struct a_flow_table : Utest
+{
+    flow_table flows{{.most = 3}};
+    failure last = {};
+    time_point now{10s};
+    service_id members = service_named("members");
+    caller_id club = caller_named("club");
+
+    flow_token token_of(flow_record const& record, flow_key key) const
+    {
+        return {record.service, {}, {}, key, record.issued, {}};
+    }
+};
+
+struct with_an_open_flow : a_flow_table
+{
+    flow_record flow = *this->flows.open({1}, this->members, this->club,
+                                         this->now, this->last);
+};
+
+struct seven_targets : Utest
+{
+    service_part part = {};
+
+    void setup() override
+    {
+        for (int i = 1; i <= 7; ++i) {
+            std::string const name = "m" + std::to_string(i);
+            this->part.targets.push_back({target_named(name),
+                                          name,
+                                          "zg-a",
+                                          {},
+                                          {},
+                                          2,
+                                          target_state::serving});
+        }
+    }
+
+    std::map<target_id, int> firsts(int flows) const
+    {
+        std::map<target_id, int> counts;
+        for (int i = 0; i < flows; ++i)
+            ++counts[ranked_target(this->part,
+                                   {hash_pair(static_cast<unsigned>(i), 9)}, 0)
+                         ->id];
+        return counts;
+    }
+};
+
+}  // namespace
+
+// ---- tokens -------------------------------------------------------------
+
+SECTION(token, an_issued_token){};
+
+TEST(token, is_taken_by_its_issuer)
+{
+    SAME(reason::none, this->refused(this->token));
+}
+
+TEST(token, is_refused_when_any_field_is_altered)
+{
+    flow_token altered = this->token;
+    altered.service = service_named("archive");
+    SAME(reason::bad_token, this->refused(altered));
+    altered = this->token;
+    altered.flow = {6};
+    SAME(reason::bad_token, this->refused(altered));
+    altered = this->token;
+    altered.issued += 1;
+    SAME(reason::bad_token, this->refused(altered));
+    for (std::size_t i = 0; i < token_seal_size; ++i) {
+        altered = this->token;
+        altered.seal[i] ^= 1U;
+        SAME(reason::bad_token, this->refused(altered));
+    }
+}
+
+TEST(token, of_another_target_or_another_life_is_refused_as_such)
+{
+    flow_token foreign = this->token;
+    foreign.target = target_named("m2");
+    SAME(reason::wrong_epoch, this->refused(foreign));
+    foreign = this->token;
+    foreign.started = {78};
+    SAME(reason::wrong_epoch, this->refused(foreign));
+}
+
+TEST(token, of_the_same_fields_under_another_key_is_refused)
+{
+    token_mint const other{target_named("m1"), {77}, {9, 9, 9}};
+    SAME(reason::bad_token,
+         this->refused(other.issue(service_named("members"), {5}, this->now)));
+}
+
+// ---- flow table ---------------------------------------------------------
+
+SECTION(flow_table_story, a_flow_table){};
+
+TEST(flow_table_story, is_bounded)
+{
+    for (std::uint64_t i = 1; i <= 3; ++i)
+        CHECK(this->flows
+                  .open({i}, this->members, this->club, this->now, this->last)
+                  .has_value());
+    CHECK_FALSE(
+        this->flows.open({4}, this->members, this->club, this->now, this->last)
+            .has_value());
+    SAME(reason::overloaded, this->last.why);
+}
+
+SECTION(flow_table_with_an_open_flow, with_an_open_flow){};
+
+TEST(flow_table_with_an_open_flow, finds_it_again_for_a_copy_of_the_open)
+{
+    auto const again = this->flows.open({1}, this->members, this->club,
+                                        this->now + 1s, this->last);
+    SAME(this->flow.issued, again->issued);
+    UNSIGNED_LONGS_EQUAL(1, this->flows.size());
+}
+
+TEST(flow_table_with_an_open_flow, refuses_its_key_to_another_caller)
+{
+    CHECK_FALSE(this->flows
+                    .open({1}, this->members, caller_named("crew"), this->now,
+                          this->last)
+                    .has_value());
+    SAME(reason::duplicate, this->last.why);
+}
+
+TEST(flow_table_with_an_open_flow, keeps_a_token_of_a_closed_flow_out)
+{
+    flow_token const old = this->token_of(this->flow, {1});
+    this->flows.close({1});
+    // A late copy of the open packet makes the flow anew.
+    this->flows.open({1}, this->members, this->club, this->now, this->last);
+    CHECK_FALSE(this->flows.use(old, this->now, this->last).has_value());
+    SAME(reason::expired, this->last.why);
+}
+
+TEST(flow_table_with_an_open_flow, drops_it_when_it_was_idle_for_too_long)
+{
+    flow_record used = this->flow;
+    used.floor = {1};
+    this->flows.replace({1}, used);
+    UNSIGNED_LONGS_EQUAL(0, this->flows.sweep(this->now + 10min).size());
+    UNSIGNED_LONGS_EQUAL(1, this->flows.sweep(this->now + 11min).size());
+}
+
+TEST(flow_table_with_an_open_flow, drops_one_that_was_never_used_sooner)
+{
+    UNSIGNED_LONGS_EQUAL(1, this->flows.sweep(this->now + 31s).size());
+}
+
+TEST(flow_table_with_an_open_flow, keeps_it_while_a_request_is_open)
+{
+    flow_record busy = this->flow;
+    busy.unsettled = 1;
+    this->flows.replace({1}, busy);
+    UNSIGNED_LONGS_EQUAL(0, this->flows.sweep(this->now + 60min).size());
+}
+
+// ---- ranking ------------------------------------------------------------
+
+SECTION(ranking, seven_targets){};
+
+TEST(ranking, spreads_flows_evenly)
+{
+    for (auto const& [id, count] : this->firsts(7000))
+        CHECK(count > 850 && count < 1150);
+}
+
+TEST(ranking, moves_only_the_flows_of_a_target_that_leaves)
+{
+    service_part smaller = this->part;
+    target_id const gone = smaller.targets[3].id;
+    smaller.targets[3].state = target_state::leaving;
+    for (std::uint64_t i = 0; i < 500; ++i) {
+        flow_key const flow{hash_pair(i, 3)};
+        target_id const before = ranked_target(this->part, flow, 0)->id;
+        target_id const after = ranked_target(smaller, flow, 0)->id;
+        CHECK(after != gone);
+        if (before != gone)
+            SAME(before, after);
+    }
+}
+
+TEST(ranking, gives_a_joining_target_a_quarter_of_a_share)
+{
+    this->part.targets[0].state = target_state::joining;
+    int const count = this->firsts(25'000)[this->part.targets[0].id];
+    CHECK(count > 800 && count < 1200);  // 1/25 of the flows
+}
+
+TEST(ranking, is_empty_when_all_leave)
+{
+    for (target_record& target : this->part.targets)
+        target.state = target_state::leaving;
+    CHECK_FALSE(ranked_target(this->part, {1}, 0).has_value());
+}
--- /dev/null
+++ b/tests/stories/main.cpp
@@ -0,0 +1,15 @@
+#include "story.hpp"
+
+#include <CppUTest/CommandLineTestRunner.h>
+
+#include <cstdlib>
+#include <sodium.h>
+
+int main(int count, char** arguments)
+{
+    if (sodium_init() < 0)
+        return 1;
+    // Property tests repeat from one seed; RC_PARAMS asks for another run.
+    setenv("RC_PARAMS", "seed=20261204 max_success=60", 0);
+    return CommandLineTestRunner::RunAllTests(count, arguments);
+}
