Never share a flow key between two owners

A late answer of the first owner to its own request 1 was taken for the answer to the new one: a request was told 'complete' that never ran. Ruled out: a wrong digest (it was the right digest of the wrong answer). Change: a flow key names one owner only. When an open is answered by another owner than the token's, the session opens under a new key. The focused story is never_shares_a_flow_key_between_owners.

--- a/src/caller/session.ipp
+++ b/src/caller/session.ipp
@@ -241,10 +241,13 @@
     if (this->now_in != phase::opening ||
         reply.token.service != this->settings.service)
         return;
-    // The flow may have found another owner, whose numbers start afresh.
-    bool const same = this->token && *this->token == reply.token;
-    if (!same)
-        this->number = request_number{1};
+    // A flow key names one owner only: numbers start afresh with another, and
+    // a late answer of the first owner must not pass for one of the second.
+    if (this->token && *this->token != reply.token) {
+        this->new_flow(now);
+        this->send_open(now);
+        return;
+    }
     this->token = reply.token;
     this->last_heard = now;
     this->silent_from = now;
