Count coming flows in constant time; add the benchmark of decisions

Cause: bench-decisions never came to its end: a target scanned every flow opened in the last 200 ms for each packet, and every record of the ledger for each submit, so a burst of n opens cost n squared. Change: coming_requests keeps its flows in order of time; overdue requests are looked for on the tick, and a picked request's own deadline before its start.

--- /dev/null
+++ b/bench/decisions.cpp
@@ -0,0 +1,394 @@
+// What one decision costs, and how it grows: the slopes of docs/CAPACITY.md.
+
+#include "fakes/fake_fleet.hpp"
+#include "platform/documents.hpp"
+#include "wire/codec.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+#include <sodium.h>
+
+namespace lagoon {
+
+namespace {
+
+// ---- a catalog of some size ---------------------------------------------
+
+constexpr std::size_t endpoints_per_service = 5;
+constexpr std::size_t entries_per_endpoint_divisor = 7;
+
+target_record some_target(std::size_t index)
+{
+    std::string const name = "target-" + std::to_string(index);
+    auto const low = static_cast<std::uint32_t>(index);
+    return {target_named(name),
+            name,
+            "zg-a",
+            {0x0A000000 + low, 7000},
+            {0x0A000000 + low, 7001},
+            2,
+            target_state::serving};
+}
+
+service_part some_service(std::size_t index)
+{
+    std::string const name = "service-" + std::to_string(index);
+    service_part part{service_named(name), name, {1}, {}, {}};
+    part.callers = {caller_named("club"), caller_named("secretary")};
+    std::sort(part.callers.begin(), part.callers.end());
+    for (std::size_t i = 0; i < endpoints_per_service; ++i)
+        part.targets.push_back(some_target(index * endpoints_per_service + i));
+    return part;
+}
+
+fleet_part some_fleet(std::size_t count)
+{
+    fleet_part fleet{{1}, {}};
+    for (std::size_t i = 0; i < count; ++i) {
+        std::string const name = "entry-" + std::to_string(i);
+        auto const low = static_cast<std::uint32_t>(i);
+        fleet.entries.push_back({process_named(name),
+                                 name,
+                                 "zg-a",
+                                 {0x0B000000 + low, 6000},
+                                 {0x0B000000 + low, 6001}});
+    }
+    std::sort(fleet.entries.begin(), fleet.entries.end());
+    return fleet;
+}
+
+catalog_change some_catalog(std::size_t endpoints)
+{
+    std::vector<service_part> parts;
+    for (std::size_t i = 0; i < endpoints / endpoints_per_service; ++i)
+        parts.push_back(some_service(i));
+    fleet_part const fleet =
+        some_fleet(endpoints / entries_per_endpoint_divisor + 1);
+    std::uint64_t sum = digest_of(fleet).value;
+    for (service_part const& part : parts)
+        sum += digest_of(part).value;
+    return {{}, {1}, {sum}, parts, {}, fleet};
+}
+
+std::size_t heap_in_use()
+{
+    return mallinfo2().uordblks + mallinfo2().hblkhd;
+}
+
+// ---- entry --------------------------------------------------------------
+
+time_point const start{std::chrono::hours{1}};
+
+entry<seeded_random> entry_with(std::size_t endpoints)
+{
+    entry<seeded_random> role{
+        {process_named("entry-0"), "zg-a", {1, 1}, {1, 2}, {}},
+        seeded_random{1},
+        start};
+    role.on(
+        change_arrived{change_source::platform, {}, some_catalog(endpoints)},
+        start);
+    for (int i = 0; i < 4; ++i)
+        role.on(clock_tick{}, start + i * std::chrono::seconds{1});
+    return role;
+}
+
+time_point const later = start + std::chrono::seconds{3};
+
+void entry_routes_by_token(benchmark::State& state)
+{
+    auto const endpoints = static_cast<std::size_t>(state.range(0));
+    entry<seeded_random> role = entry_with(endpoints);
+    std::vector<entry_event> events;
+    for (std::size_t i = 0; i < 1024; ++i) {
+        flow_token const token{service_named("service-0"),
+                               some_target(i * 31 % endpoints).id,
+                               {1},
+                               {i},
+                               1,
+                               {}};
+        events.push_back(caller_packet{
+            {2, 2}, caller_message{pull_answer{token, {1}, 0, 1200}}});
+    }
+    std::size_t i = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(role.on(events[i++ & 1023U], later));
+}
+BENCHMARK(entry_routes_by_token)->Arg(35)->Arg(1000)->Arg(10'000)->Arg(33'000);
+
+void entry_routes_open(benchmark::State& state)
+{
+    auto const endpoints = static_cast<std::size_t>(state.range(0));
+    entry<seeded_random> role = entry_with(endpoints);
+    std::vector<entry_event> events;
+    for (std::size_t i = 0; i < 1024; ++i)
+        events.push_back(caller_packet{
+            {2, 2},
+            caller_message{open_request{
+                some_service(i % (endpoints / endpoints_per_service)).id,
+                caller_named("club"),
+                {hash_pair(i, 7)},
+                0,
+                0,
+                0,
+                {}}}});
+    std::size_t i = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(role.on(events[i++ & 1023U], later));
+}
+BENCHMARK(entry_routes_open)->Arg(35)->Arg(1000)->Arg(10'000)->Arg(33'000);
+
+// ---- target -------------------------------------------------------------
+
+struct busy_target
+{
+    target<standard_policy> role;
+    std::vector<flow_token> tokens = {};
+};
+
+service_part one_service()
+{
+    return {service_named("members"),
+            "members",
+            {1},
+            {caller_named("club")},
+            {some_target(0)}};
+}
+
+busy_target target_with(std::size_t flows)
+{
+    token_key const key{1, 2, 3};
+    busy_target made{{{.self = some_target(0).id,
+                       .address = some_target(0).address,
+                       .key = key,
+                       .started = {7},
+                       .admission = {.slots = 2},
+                       .flows = {.most = 600'000}},
+                      {process_named("target-0"), "zg-a", {1, 1}, {1, 2}, {}},
+                      seeded_random{1},
+                      start}};
+    fleet_part const fleet{{1}, {}};
+    std::uint64_t const sum =
+        digest_of(fleet).value + digest_of(one_service()).value;
+    made.role.on(
+        change_arrived{
+            change_source::platform,
+            {},
+            catalog_change{{}, {1}, {sum}, {one_service()}, {}, fleet}},
+        start);
+    for (int i = 0; i < 4; ++i)
+        made.role.on(clock_tick{}, start + i * std::chrono::seconds{1});
+    made.tokens.reserve(flows);
+    for (std::size_t i = 0; i < flows; ++i) {
+        target_effects const effects =
+            made.role.on(inward_arrived{{3, 3},
+                                        {{2, 2},
+                                         {},
+                                         {},
+                                         open_request{service_named("members"),
+                                                      caller_named("club"),
+                                                      {hash_pair(i, 1)},
+                                                      2,
+                                                      0,
+                                                      0,
+                                                      {}}}},
+                         later);
+        made.tokens.push_back(
+            std::get<open_reply>(
+                std::get<send_outward>(effects.back()).packet.message)
+                .token);
+    }
+    return made;
+}
+
+void target_answers_packet(benchmark::State& state)
+{
+    std::size_t const before = heap_in_use();
+    auto const flows = static_cast<std::size_t>(state.range(0));
+    busy_target made = target_with(flows);
+    std::size_t const tokens = made.tokens.capacity() * sizeof(flow_token);
+    state.counters["bytes_per_flow"] =
+        static_cast<double>(heap_in_use() - before - tokens) /
+        static_cast<double>(flows);
+    std::vector<target_event> events;
+    for (std::size_t i = 0; i < 1024; ++i)
+        events.push_back(inward_arrived{
+            {3, 3},
+            {{2, 2},
+             {},
+             {},
+             pull_answer{made.tokens[i * 7919 % flows], {1}, 0, 1200}}});
+    std::size_t i = 0;
+    for (auto _ : state)
+        benchmark::DoNotOptimize(made.role.on(events[i++ & 1023U], later));
+}
+BENCHMARK(target_answers_packet)
+    ->Arg(1000)
+    ->Arg(10'000)
+    ->Arg(100'000)
+    ->Arg(500'000);
+
+void target_opens_flow(benchmark::State& state)
+{
+    busy_target made = target_with(1000);
+    std::uint64_t i = 0;
+    time_point now = later;
+    for (auto _ : state) {
+        now += std::chrono::microseconds{10};
+        benchmark::DoNotOptimize(
+            made.role.on(inward_arrived{{3, 3},
+                                        {{2, 2},
+                                         {},
+                                         {},
+                                         open_request{service_named("members"),
+                                                      caller_named("club"),
+                                                      {hash_pair(++i, 2)},
+                                                      2,
+                                                      0,
+                                                      0,
+                                                      {}}}},
+                         now));
+    }
+}
+BENCHMARK(target_opens_flow)->Iterations(400'000);
+
+void target_ticks(benchmark::State& state)
+{
+    busy_target made = target_with(static_cast<std::size_t>(state.range(0)));
+    time_point now = later;
+    for (auto _ : state) {
+        now += std::chrono::milliseconds{20};
+        benchmark::DoNotOptimize(made.role.on(clock_tick{}, now));
+    }
+}
+BENCHMARK(target_ticks)->Arg(1000)->Arg(4000)->Arg(100'000);
+
+// ---- configuration ------------------------------------------------------
+
+catalog_change change_of_one_part(catalog_change const& whole)
+{
+    service_part part = whole.parts[0];
+    std::uint64_t const without = whole.whole.value - digest_of(part).value;
+    part.changed_at = {2};
+    part.targets[0].state = target_state::leaving;
+    return {{1}, {2}, {without + digest_of(part).value}, {part}, {}, {}};
+}
+
+void catalog_adopts_one_part(benchmark::State& state)
+{
+    std::size_t const before = heap_in_use();
+    auto const endpoints = static_cast<std::size_t>(state.range(0));
+    catalog known;
+    failure last;
+    {
+        catalog_change const whole = some_catalog(endpoints);
+        known.adopt(whole, last);
+    }
+    state.counters["bytes_per_endpoint"] =
+        static_cast<double>(heap_in_use() - before) /
+        static_cast<double>(endpoints);
+    catalog_change const change = change_of_one_part(known.changes_since({}));
+    for (auto _ : state) {
+        state.PauseTiming();
+        catalog fresh = known;
+        state.ResumeTiming();
+        if (!fresh.adopt(change, last))
+            state.SkipWithError("not adopted");
+    }
+}
+BENCHMARK(catalog_adopts_one_part)
+    ->Arg(1000)
+    ->Arg(10'000)
+    ->Arg(33'000)
+    ->Unit(benchmark::kMicrosecond);
+
+void document_of_whole_catalog(benchmark::State& state)
+{
+    catalog_change const whole =
+        some_catalog(static_cast<std::size_t>(state.range(0)));
+    std::string text;
+    for (auto _ : state) {
+        text = write_document(whole);
+        json_checker checker{"whole"};
+        benchmark::DoNotOptimize(parse_change(checker, text));
+    }
+    state.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(document_of_whole_catalog)
+    ->Arg(1000)
+    ->Arg(33'000)
+    ->Unit(benchmark::kMillisecond);
+
+void document_of_one_change(benchmark::State& state)
+{
+    catalog_change const change = change_of_one_part(some_catalog(1000));
+    std::string text;
+    for (auto _ : state) {
+        text = write_document(change);
+        json_checker checker{"change"};
+        benchmark::DoNotOptimize(parse_change(checker, text));
+    }
+    state.counters["bytes"] = static_cast<double>(text.size());
+}
+BENCHMARK(document_of_one_change)->Unit(benchmark::kMicrosecond);
+
+void entry_hears_digest(benchmark::State& state)
+{
+    entry<seeded_random> role =
+        entry_with(static_cast<std::size_t>(state.range(0)));
+    digest_packet const packet{
+        {5, 5},
+        {process_named("e"), role.configuration().version(), {}, {5, 6}, true}};
+    for (auto _ : state)
+        benchmark::DoNotOptimize(role.on(packet, later));
+}
+BENCHMARK(entry_hears_digest)->Arg(33'000);
+
+void entry_ticks(benchmark::State& state)
+{
+    entry<seeded_random> role =
+        entry_with(static_cast<std::size_t>(state.range(0)));
+    time_point now = later;
+    for (auto _ : state) {
+        now += std::chrono::milliseconds{100};
+        benchmark::DoNotOptimize(role.on(clock_tick{}, now));
+    }
+}
+BENCHMARK(entry_ticks)->Arg(1000)->Arg(33'000);
+
+// ---- datagrams ----------------------------------------------------------
+
+void codec_reads_and_writes(benchmark::State& state)
+{
+    inward_packet const packet{
+        {1, 2}, {}, {}, pull_answer{{{1}, {2}, {3}, {4}, 5, {}}, {1}, 0, 1200}};
+    std::string const bytes = encode_packet(packet);
+    failure last;
+    for (auto _ : state) {
+        benchmark::DoNotOptimize(decode_packet(bytes, {}, last));
+        benchmark::DoNotOptimize(encode_packet(packet));
+    }
+    state.counters["bytes"] = static_cast<double>(bytes.size());
+    state.counters["digest_bytes"] =
+        static_cast<double>(encode_packet(peer_digest{process_named("e"),
+                                                      {{1'000'000}, {~0ULL}},
+                                                      std::chrono::seconds{1},
+                                                      {~0U, 60'000},
+                                                      true})
+                                .size());
+}
+BENCHMARK(codec_reads_and_writes);
+
+}  // namespace
+
+}  // namespace lagoon
+
+int main(int count, char** arguments)
+{
+    if (sodium_init() < 0)
+        return 1;
+    benchmark::Initialize(&count, arguments);
+    benchmark::RunSpecifiedBenchmarks();
+    return 0;
+}
--- /dev/null
+++ b/src/admission/coming.hpp
@@ -0,0 +1,63 @@
+// Flows that were opened a moment ago and whose first request is on its way:
+// load that a target has promised to take and doesn't see yet.
+//
+// Index
+//   coming_requests   the aggregate
+#pragma once
+
+#include "base/values.hpp"
+
+#include <cstddef>
+#include <deque>
+#include <unordered_set>
+
+namespace lagoon {
+
+// ---- coming_requests ----------------------------------------------------
+
+// A flow opened this short a time ago counts as load.
+constexpr duration coming_lifetime = std::chrono::milliseconds{200};
+
+class coming_requests
+{
+public:
+    void opened(flow_key flow, time_point now)
+    {
+        this->prune(now);
+        this->order.push_back({now, flow});
+        this->waiting.insert(flow);
+    }
+
+    void arrived(flow_key flow)
+    {
+        this->waiting.erase(flow);
+    }
+
+    std::size_t count(time_point now)
+    {
+        this->prune(now);
+        return this->waiting.size();
+    }
+
+private:
+    struct opened_flow
+    {
+        time_point at = {};
+        flow_key flow = {};
+        auto operator<=>(opened_flow const&) const = default;
+    };
+
+    void prune(time_point now)
+    {
+        while (!this->order.empty() &&
+               now - this->order.front().at >= coming_lifetime) {
+            this->waiting.erase(this->order.front().flow);
+            this->order.pop_front();
+        }
+    }
+
+    std::deque<opened_flow> order = {};
+    std::unordered_set<flow_key, detail::identifier_hash> waiting = {};
+};
+
+}  // namespace lagoon
--- a/src/target/target.hpp
+++ b/src/target/target.hpp
@@ -9,12 +9,12 @@
 #pragma once
 
 #include "admission/admission.hpp"
+#include "admission/coming.hpp"
 #include "flow/ranking.hpp"
 #include "flow/table.hpp"
 #include "membership/adoption.hpp"
 #include "request/answers.hpp"
 
-#include <deque>
 #include <map>
 #include <set>
 #include <variant>
@@ -42,9 +42,6 @@
 // A settled request that nobody asks about is forgotten after this.
 constexpr duration answer_lifetime = std::chrono::seconds{60};
 
-// A flow opened this short a time ago counts as load: its request is coming.
-constexpr duration coming_lifetime = std::chrono::milliseconds{200};
-
 // How far a flow's request numbers may run ahead of its oldest open one.
 constexpr std::uint32_t requests_per_flow = 64;
 
@@ -170,17 +167,9 @@
 
     std::size_t open_flows() const;
     std::size_t held_requests() const;
-    std::uint32_t load(time_point now) const;
+    std::uint32_t load(time_point now);
 
 private:
-    // A flow was opened and its first request is on its way.
-    struct coming_request
-    {
-        time_point opened = {};
-        flow_key flow = {};
-        auto operator<=>(coming_request const&) const = default;
-    };
-
     void on_event(inward_arrived const& event, time_point now);
     void on_event(run_bytes const& event, time_point now);
     void on_event(run_ended const& event, time_point now);
@@ -219,6 +208,8 @@
     void admit_request(request_key key, flow_record const& flow,
                        submit_request const& submit, time_point now);
     void start_runs(time_point now);
+    void begin_run(run_id run, request_key key, request_record const& record,
+                   time_point now);
     void refuse_request(request_key key, refusal const& why, time_point now);
     void settle(request_key key, time_point now);
     bool is_settled_early(request_key key, flow_record const& flow) const;
@@ -230,7 +221,7 @@
     void send_segments(request_key key, std::uint64_t begin, std::uint64_t end);
     void note(step at, reason why, peer_address peer, std::string detail);
     void watch_leaving(time_point now);
-    void drop_coming(flow_key flow, time_point now);
+    void refuse_overdue(time_point now);
 
     target_settings settings;
     token_mint mint;
@@ -241,7 +232,7 @@
     catalog known = {};
     membership<typename P::random> member;
     std::map<run_id, request_key> runs = {};
-    std::deque<coming_request> coming = {};
+    coming_requests coming = {};
     std::set<request_key> settled_early = {};
     std::uint64_t last_run = 0;
     bool stopping = false;
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -100,12 +100,10 @@
 
 // ---- small helpers ------------------------------------------------------
 
-template <target_policy P> std::uint32_t target<P>::load(time_point now) const
+template <target_policy P> std::uint32_t target<P>::load(time_point now)
 {
-    std::uint32_t fresh = 0;
-    for (coming_request const& one : this->coming)
-        fresh += now - one.opened < coming_lifetime ? 1U : 0U;
-    return this->gate.load() + fresh;
+    return this->gate.load() +
+           static_cast<std::uint32_t>(this->coming.count(now));
 }
 
 template <target_policy P>
@@ -149,14 +147,6 @@
                                   this->answers.slice(key, at)});
 }
 
-template <target_policy P>
-void target<P>::drop_coming(flow_key flow, time_point now)
-{
-    std::erase_if(this->coming, [flow, now](auto const& one) {
-        return one.flow == flow || now - one.opened >= coming_lifetime;
-    });
-}
-
 // ---- packets ------------------------------------------------------------
 
 template <target_policy P>
@@ -264,7 +254,7 @@
         return;
     }
     if (fresh)
-        this->coming.push_back({now, open.flow});
+        this->coming.opened(open.flow, now);
     time_point const issued{duration{flow->issued}};
     flow_token const token = this->mint.issue(open.service, open.flow, issued);
     this->effects.push_back(send_outward{
@@ -312,7 +302,7 @@
     if (!flow)
         return;
     request_key const key = detail::key_of(submit.token, submit.number);
-    this->drop_coming(key.flow, now);
+    this->coming.arrived(key.flow);
     if (this->ledger.find(key) == nullptr)
         this->admit_request(key, *flow, submit, now);
     if (this->ledger.find(key) == nullptr)
@@ -360,18 +350,30 @@
         this->settle(key, now);
 }
 
-template <target_policy P> void target<P>::start_runs(time_point now)
+template <target_policy P> void target<P>::refuse_overdue(time_point now)
 {
-    // A paused process finds the deadlines of what it queued passed.
     for (request_key const key : this->ledger.overdue(now)) {
         this->gate.release(key);
         this->refuse_request(key, {reason::timed_out, {}}, now);
         this->tell_status(key);
     }
+}
+
+template <target_policy P> void target<P>::start_runs(time_point now)
+{
     while (!this->answers.is_full()) {
         std::optional<waiting_request> const picked = this->gate.next(now);
         if (!picked)
             return;
+        // A paused process finds the deadlines of what it queued passed.
+        request_record const* waiting = this->ledger.find(picked->key);
+        if (waiting != nullptr && waiting->deadline &&
+            *waiting->deadline < now) {
+            this->gate.release(picked->key);
+            this->refuse_request(picked->key, {reason::timed_out, {}}, now);
+            this->tell_status(picked->key);
+            continue;
+        }
         run_id const run{++this->last_run};
         std::optional<request_record> const record =
             this->ledger.start(picked->key, run, now);
@@ -379,14 +381,20 @@
             this->gate.release(picked->key);
             continue;
         }
-        this->runs.insert_or_assign(run, picked->key);
-        duration const left =
-            record->deadline ? *record->deadline - now : duration{};
-        this->effects.push_back(start_run{run, record->service, picked->key,
-                                          record->path, record->body, left});
+        this->begin_run(run, picked->key, *record, now);
     }
 }
 
+template <target_policy P>
+void target<P>::begin_run(run_id run, request_key key,
+                          request_record const& record, time_point now)
+{
+    this->runs.insert_or_assign(run, key);
+    duration const left = record.deadline ? *record.deadline - now : duration{};
+    this->effects.push_back(
+        start_run{run, record.service, key, record.path, record.body, left});
+}
+
 template <target_policy P>
 void target<P>::on_message(return_path const& back,
                            cancel_request const& cancel, inward_arrived const&,
@@ -599,7 +607,7 @@
 void target<P>::on_event(clock_tick const&, time_point now)
 {
     detail::append(this->effects, this->member.tick(this->known, now));
-    this->drop_coming({}, now);
+    this->refuse_overdue(now);
     this->start_runs(now);
     for (flow_key const expired : this->flows.sweep(now))
         this->drop_settled(expired);
