Model the core protocol, with every guard taken out in turn

Mended on the way: a second fleet in one script took the process ids of the first for its own and did not start those processes.

--- /dev/null
+++ b/bench/relay_program.hpp
@@ -0,0 +1,67 @@
+// The baseline of the packet benchmark: a bare UDP relay on the same loop,
+// with no codec and no decision.
+//
+// Index
+//   relay_program   the adapter
+#pragma once
+
+#include "loop/event_loop.hpp"
+#include "loop/signals.hpp"
+
+namespace lagoon {
+
+// ---- relay_program ------------------------------------------------------
+
+class relay_program
+{
+public:
+    relay_program(peer_address listen, peer_address sink)
+        : listen(listen), sink(sink),
+          loop(*this, {{}, std::chrono::milliseconds{100}})
+    {
+    }
+
+    bool open(failure& last)
+    {
+        auto const front = bind_udp(this->listen, last);
+        auto const back = bind_udp({this->listen.ip, 0}, last);
+        if (!front || !back)
+            return false;
+        this->loop.adopt(lane{0}, *front);
+        this->loop.adopt(lane{1}, *back);
+        return true;
+    }
+
+    void run()
+    {
+        this->loop.run();
+    }
+
+    void on_datagram(lane by, peer_address, std::string_view bytes)
+    {
+        if (by == lane{0})
+            this->loop.send(lane{1}, this->sink, bytes);
+    }
+
+    bool wants_to_stop() const
+    {
+        return stop_signals() > 0;
+    }
+
+    void on_tick() {}
+
+    void on_http_request(exchange_id, http_request const&) {}
+
+    void on_http_gone(exchange_id) {}
+
+    void on_http_bytes(exchange_id, std::string_view) {}
+
+    void on_http_end(exchange_id, http_result const&) {}
+
+private:
+    peer_address listen;
+    peer_address sink;
+    event_loop<relay_program> loop;
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/models/generations.pml
@@ -0,0 +1,149 @@
+/* Generations: what a process may adopt, and when it may act on it.
+ *
+ * Two entries and one target; the platform publishes up to three generations
+ * and may answer with any older one; peers exchange what they have. From
+ * generation 2 on the target leaves. Entry 0 may be replaced once, and knows
+ * nothing then. An open sent by an entry may arrive at any later time.
+ *
+ * Guards, each of which can be taken out with -DNO_<guard>:
+ *   newer_only     a process adopts only a later generation
+ *   compare        a process that starts takes no new flow before a peer's
+ *                  generation was compared and caught up with
+ *   target_check   a target admits only what it knows to be its own
+ *   entry_check    an entry routes only to targets that serve
+ *
+ * Steps named in the code: adopt, compare, may_open, admit.
+ */
+
+#define PROCESSES 3
+#define TARGET 2
+#define LAST 3
+#define LEAVES_FROM 2
+
+byte published = 1;
+byte known[PROCESSES];
+bit compared[PROCESSES];   /* with a peer, since the start */
+bit waited[PROCESSES];     /* the bounded wait is over */
+bit ready[PROCESSES];
+byte floor_at_start = 0;   /* what entry 1 had when entry 0 was replaced */
+bit replaced = 0;
+
+/* Opens under way: by the sender's generation. */
+bit open_sent[LAST + 1];
+
+#define SERVES(g) ((g) > 0 && (g) < LEAVES_FROM)
+
+#ifndef NO_compare
+#define MAY_OPEN(p) (compared[p] || waited[p])
+#else
+#define MAY_OPEN(p) true
+#endif
+#ifndef NO_entry_check
+#define MAY_ROUTE(p) SERVES(known[p])
+#else
+#define MAY_ROUTE(p) true
+#endif
+#ifndef NO_target_check
+#define MAY_ADMIT(p) SERVES(known[p])
+#else
+#define MAY_ADMIT(p) true
+#endif
+
+/* adopt */
+inline adopt(p, g) {
+#ifndef NO_newer_only
+  if
+  :: g > known[p] -> known[p] = g
+  :: else -> skip
+  fi
+#else
+  assert(g >= known[p]); /* a generation in force never goes back */
+  known[p] = g
+#endif
+}
+
+/* may_open */
+inline become_ready(p) {
+  ready[p] = 1;
+  assert(known[p] > 0);
+  /* Without the wait, a replaced entry acts on nothing older than what its
+   * peer had when it started. */
+  assert(!(p == 0 && replaced && !waited[p] && known[p] < floor_at_start))
+}
+
+proctype member(byte p) {
+  byte g;
+  byte q;
+  do
+  /* Reads the platform, which may be stale. */
+  :: atomic {
+       select(g : 1 .. LAST);
+       if
+       :: g <= published -> adopt(p, g)
+       :: else -> skip
+       fi;
+       g = 0
+     }
+  /* compare: a peer's digest, and the changes if it is ahead. */
+  :: atomic {
+       select(q : 0 .. PROCESSES - 1);
+       if
+       :: q != p && known[q] > 0 ->
+          if
+          :: known[q] > known[p] -> adopt(p, known[q])
+          :: else -> skip
+          fi;
+          if
+          :: p != 0 || q == 1 -> compared[p] = 1
+          :: else -> skip
+          fi
+       :: else -> skip
+       fi;
+       q = 0
+     }
+  :: atomic { !waited[p] && !ready[p] -> waited[p] = 1 }
+  :: atomic {
+       !ready[p] && known[p] > 0 && MAY_OPEN(p) -> become_ready(p)
+     }
+  /* An entry sends an open to the target. */
+  :: atomic {
+       p != TARGET && ready[p] && MAY_ROUTE(p) ->
+       assert(SERVES(known[p]));
+       open_sent[known[p]] = 1
+     }
+  /* admit */
+  :: atomic {
+       p == TARGET && ready[p] && MAY_ADMIT(p) &&
+       (open_sent[1] || open_sent[2] || open_sent[3]) ->
+       assert(SERVES(known[p]))
+     }
+  od
+}
+
+proctype publisher() {
+  do
+  :: atomic { published < LAST -> published++ }
+  :: published == LAST -> break
+  od
+}
+
+proctype replacement() {
+  atomic {
+    known[0] = 0;
+    ready[0] = 0;
+    compared[0] = 0;
+    waited[0] = 0;
+    floor_at_start = known[1];
+    replaced = 1
+  }
+}
+
+init {
+  atomic {
+    run member(0);
+    run member(1);
+    run member(2);
+    run publisher();
+    run replacement()
+  }
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -42,10 +42,14 @@
   echo "${!name-}"
 }
 
+# fleet_shift ADDRESS N: the address with its port moved by N.
+fleet_shift() {
+  echo "${1%:*}:$((${1##*:} + $2))"
+}
+
 # Settings of each process, from the rows of the sheet.
 fleet_write_settings() {
   local kind service name place address control slots state
-  local seeds="\"$FLEET_IP:6301\", \"$FLEET_IP:6302\""
   while IFS=, read -r kind service name place address control slots state; do
     case $kind in
     entry)
@@ -53,7 +57,7 @@
 // settings of $name
 {
   "name": "$name", "data_centre": "$place",
-  "callers": "${address/:61/:60}", // packets of callers
+  "callers": "$(fleet_shift "$address" -100)", // packets of callers
   "exchange": "$address", "control": "$control",
   "platform": "$FLEET_IP:8000", "seeds": [], "log_level": "info"
 }
@@ -65,7 +69,7 @@
 {
   "name": "$name", "data_centre": "$place",
   "packets": "$address", "control": "$control",
-  "back_end": "${address/:71/:81}", "slots": $slots,
+  "back_end": "$(fleet_shift "$address" 1000)", "slots": $slots,
   "platform": "$FLEET_IP:8000", "seeds": ["$FLEET_IP:6101", "$FLEET_IP:6102"],
   "log_level": "info"
 }
@@ -90,8 +94,8 @@
     entry) fleet_start_entry "$name" ;;
     target)
       [ -n "$(fleet_pid "$name")" ] && continue
-      fleet_start "back-$name" "$BUILD/stand-in-back_end" \
-        --listen "${address/:71/:81}" --slots "$slots"
+      [ -n "${FLEET_NO_BACK_ENDS:-}" ] || fleet_start "back-$name" "$BUILD/stand-in-back_end" \
+        --listen "$(fleet_shift "$address" 1000)" --slots "$slots"
       fleet_start_target "$name"
       ;;
     esac
@@ -99,7 +103,7 @@
 }
 
 fleet_entries() {
-  awk -F, '$1 == "entry" { sub(":61", ":60", $5); printf "%s%s", s, $5; s = "," }' \
+  awk -F, '$1 == "entry" { split($5, a, ":"); printf "%s%s:%d", s, a[1], a[2] - 100; s = "," }' \
     "$FLEET_DIR/sheet.csv"
 }
 
@@ -117,6 +121,7 @@
   shift
   FLEET_DIR=$(mktemp -d)
   FLEET_PIDS=
+  unset "${!PID_@}"
   fleet_pick_ip || return 1
   sed "s/127\.0\.0\.1/$FLEET_IP/g" "$sheet" >"$FLEET_DIR/sheet.csv"
   fleet_write_settings
@@ -126,7 +131,10 @@
   fleet_start fabric "$BUILD/stand-in-fabric" --listen "$FLEET_IP:6000" \
     --entries "$(fleet_entries)" "$@"
   fleet_start_all
-  fleet_wait >&2
+  if ! fleet_wait >&2; then
+    fleet_end
+    return 1
+  fi
 }
 
 fleet_call() {
