--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -10,6 +10,8 @@
 # the process id of each process, with '-' as '_'.
 
 BUILD=${BUILD:-build}
+FLEET_PIDS=
+FLEET_DIR=
 
 fleet_note() {
   echo "fleet: $*" >&2
--- a/src/admission/prediction.hpp
+++ b/src/admission/prediction.hpp
@@ -8,6 +8,7 @@
 //                            declared time (Klusacek and Soysal, Walltime
 //                            Prediction, formula 2), by caller and path
 //   recent_path_time         largest of the last five times of a path
+//   usual_path_time          median of the last five times of a path
 #pragma once
 
 #include "base/values.hpp"
@@ -79,6 +80,15 @@
                                      static_cast<std::ptrdiff_t>(count));
     }
 
+    double median() const
+    {
+        std::array<double, recent_count> sorted = this->values;
+        auto const count =
+            static_cast<std::ptrdiff_t>(std::min(this->seen, recent_count));
+        std::sort(sorted.begin(), sorted.begin() + count);
+        return sorted[static_cast<std::size_t>(count) / 2];
+    }
+
     recent_values with(double value) const
     {
         recent_values next = *this;
@@ -142,15 +152,18 @@
     detail::recent_table table = {};
 };
 
-class recent_path_time
+namespace detail {
+
+// Predicts from a path's recent times by one statistic of them.
+template <double (recent_values::*Statistic)() const> class path_time
 {
 public:
     duration predict(work_kind const& kind) const
     {
-        detail::recent_values const* known = this->table.find(kind.path_hash);
+        recent_values const* known = this->table.find(kind.path_hash);
         if (known == nullptr)
             return declared_time{}.predict(kind);
-        return duration{static_cast<std::int64_t>(known->largest())};
+        return duration{static_cast<std::int64_t>((known->*Statistic)())};
     }
 
     void learn(work_kind const& kind, duration actual)
@@ -159,11 +172,17 @@
     }
 
 private:
-    detail::recent_table table = {};
+    recent_table table = {};
 };
 
+}  // namespace detail
+
+using recent_path_time = detail::path_time<&detail::recent_values::largest>;
+using usual_path_time = detail::path_time<&detail::recent_values::median>;
+
 static_assert(running_time_predictor<declared_time>);
 static_assert(running_time_predictor<recent_ratio>);
 static_assert(running_time_predictor<recent_path_time>);
+static_assert(running_time_predictor<usual_path_time>);
 
 }  // namespace lagoon
--- a/src/target/target.hpp
+++ b/src/target/target.hpp
@@ -137,7 +137,8 @@
 template <class P>
 concept target_policy =
     random_source<typename P::random> && queue_policy<typename P::queue> &&
-    running_time_predictor<typename P::predictor>;
+    running_time_predictor<typename P::predictor> &&
+    std::same_as<decltype(P::hands_over), bool const>;
 
 // What the programs run; docs/POLICY.md gives the measurements.
 struct standard_policy
@@ -145,6 +146,7 @@
     using random = seeded_random;
     using queue = short_first_queue;
     using predictor = recent_path_time;
+    static constexpr bool hands_over = true;  // two choices on opening
 };
 
 static_assert(target_policy<standard_policy>);
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -226,7 +226,7 @@
             event.from, {packet.caller, entry, packet.handed_by, passed}});
         return true;
     }
-    bool const busy = own >= this->gate.slots();
+    bool const busy = P::hands_over && own >= this->gate.slots();
     if (open.hops != 0 || open.attempt > 1 || !busy)
         return false;
     service_part const* part = this->known.find_service(open.service);
