--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -145,6 +145,7 @@
     std::map<exchange_id, client_exchange> calls = {};
     std::map<exchange_id, server_exchange> requests = {};
     std::uint64_t last_exchange = 0;
+    bool closing = false;  // the program is going: it is told nothing more
 };
 
 }  // namespace lagoon
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -88,6 +88,9 @@
 
 template <class P> event_loop<P>::~event_loop()
 {
+    this->closing = true;
+    this->calls.clear();
+    this->requests.clear();
     lws_context_destroy(this->context);
 }
 
@@ -153,7 +156,7 @@
 int event_loop<P>::on_udp(lws* wsi, lws_callback_reasons why, void*, void* in,
                           size_t size)
 {
-    if (why != LWS_CALLBACK_RAW_RX)
+    if (why != LWS_CALLBACK_RAW_RX || of(wsi).closing)
         return 0;
     return of(wsi).receive_datagrams(wsi, {static_cast<char*>(in), size});
 }
@@ -245,7 +248,7 @@
     event_loop& loop = of(wsi);
     exchange_id const id = exchange_of(wsi);
     auto const found = loop.calls.find(id);
-    if (found == loop.calls.end())
+    if (loop.closing || found == loop.calls.end())
         return 0;
     client_exchange& exchange = found->second;
     switch (why) {
--- a/src/programs/call_main.cpp
+++ b/src/programs/call_main.cpp
@@ -231,6 +231,10 @@
     std::size_t not_run = 0;
     std::size_t unknown = 0;
     for (call_record const& record : records) {
+        if (record.outcome.kind != outcome_kind::complete)
+            std::cerr << record.path << ": " << name_of(record.outcome.kind)
+                      << " (" << to_text(record.outcome.why) << "), tries "
+                      << record.outcome.flows_used << '\n';
         not_run += record.outcome.kind == outcome_kind::not_run ? 1U : 0U;
         unknown += record.outcome.kind == outcome_kind::unknown ? 1U : 0U;
         if (record.outcome.kind == outcome_kind::complete)
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -33,6 +33,12 @@
            std::all_of(path.begin(), path.end(), plain);
 }
 
+inline bool is_copy(request_record const& known, submit_request const& submit)
+{
+    return known.path == submit.path && known.body == submit.body &&
+           known.idempotent == submit.idempotent;
+}
+
 // Whether a start would be wasted: the deadline has passed, as a paused
 // process finds, or the run is predicted to end after it. A prediction that
 // fills most of the whole time is not trusted that far: it might be wrong, and
@@ -316,7 +322,20 @@
         return;
     request_key const key = detail::key_of(submit.token, submit.number);
     this->coming.arrived(key.flow);
-    if (this->ledger.find(key) == nullptr)
+    request_record const* known = this->ledger.find(key);
+    if (known != nullptr && !detail::is_copy(*known, submit)) {
+        // Its number is taken by another request, so it never runs.
+        this->tell(back, request_status{submit.token.service,
+                                        key.flow,
+                                        key.number,
+                                        request_state::not_run,
+                                        reason::duplicate,
+                                        0,
+                                        {},
+                                        {}});
+        return;
+    }
+    if (known == nullptr)
         this->admit_request(key, *flow, submit, now);
     if (this->ledger.find(key) == nullptr)
         return;
@@ -349,6 +368,10 @@
                              now);
         return;
     }
+    if (!detail::is_plain_path(submit.path)) {
+        this->refuse_request(key, {reason::malformed, {}}, now);
+        return;
+    }
     std::optional<refusal> const refused =
         this->gate.offer(key, detail::kind_of(record), record.deadline, now);
     if (refused)
--- a/src/telemetry/logging.cpp
+++ b/src/telemetry/logging.cpp
@@ -23,6 +23,8 @@
 bool start_logging(std::string const& level)
 {
     static log4cplus::Initializer const initializer;
+    // One thread: nothing is logged by threads of the library's own.
+    log4cplus::setThreadPoolSize(0);
     log4cplus::LogLevel const wanted =
         level == "debug"   ? log4cplus::DEBUG_LOG_LEVEL
         : level == "info"  ? log4cplus::INFO_LOG_LEVEL
--- /dev/null
+++ b/tests/processes/checks.sh
@@ -0,0 +1,54 @@
+# Checks for the process tests; sourced after scripts/fleet.sh.
+
+FAILURES=0
+
+fail() {
+  echo "FAILED: $*"
+  FAILURES=$((FAILURES + 1))
+}
+
+# same WHAT EXPECTED ACTUAL
+same() {
+  if [ "$2" = "$3" ]; then
+    echo "good: $1 ($2)"
+  else
+    fail "$1: expected '$2', got '$3'"
+  fi
+}
+
+# begin_load NAME ARGUMENTS: a load in the background by club-hajduk.
+begin_load() {
+  local name=$1
+  shift
+  fleet_call --service members --caller club-hajduk "$@" \
+    >"$FLEET_DIR/$name.json" 2>"$FLEET_DIR/$name.err" &
+  printf -v "LOAD_$name" '%s' "$!"
+}
+
+end_load() {
+  local name=LOAD_$1
+  wait "${!name}"
+  cat "$FLEET_DIR/$1.json"
+  cat "$FLEET_DIR/$1.err"
+}
+
+# count NAME FIELD: a number of the load's report.
+count() {
+  sed "s/.*\"$2\": \([0-9]*\).*/\1/" "$FLEET_DIR/$1.json"
+}
+
+# runs_of PATH: how often the back ends have run it, by their own record.
+runs_of() {
+  cat "$FLEET_DIR"/back-*.out | grep -c "^run members/$1 "
+}
+
+# Requests that ran more than once, by flow and number.
+doubled_runs() {
+  cat "$FLEET_DIR"/back-*.out | grep '^run .*/once-' |
+    awk '{ print $3, $4 }' | sort | uniq -d
+}
+
+finish() {
+  [ "$FAILURES" = 0 ] && echo "good" || echo "$FAILURES failed"
+  exit "$((FAILURES > 0))"
+}
--- /dev/null
+++ b/tests/processes/inputs.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Bad input to the programs: every fault is named, nothing is written, and the
+# exit code says so.
+set -u
+cd "$(dirname "$0")/../.."
+. scripts/fleet.sh
+. tests/processes/checks.sh
+FLEET_DIR=$(mktemp -d)
+trap fleet_end EXIT
+
+for program in lagoon-entry lagoon-target lagoon-sheet lagoon-call; do
+  "$BUILD/$program" --version >/dev/null
+  same "$program --version" 0 $?
+  "$BUILD/$program" --help >/dev/null
+  same "$program --help" 0 $?
+  "$BUILD/$program" --nonsense 2>/dev/null
+  same "$program --nonsense" 2 $?
+done
+
+echo '{"name": 1, "unknown": 2}' >"$FLEET_DIR/bad.json"
+"$BUILD/lagoon-entry" --settings "$FLEET_DIR/bad.json" --check-settings \
+  2>"$FLEET_DIR/problems"
+same "bad settings" 2 $?
+same "all faults at once" 10 "$(wc -l <"$FLEET_DIR/problems")"
+"$BUILD/lagoon-target" --settings "$FLEET_DIR/none.json" 2>/dev/null
+same "no settings" 2 $?
+
+for sheet in examples/tiskara.csv examples/adwoa.csv; do
+  "$BUILD/lagoon-sheet" check --sheet "$sheet" >/dev/null
+  same "$sheet" 0 $?
+done
+sed 's/,2,serving/,0,serving/' examples/tiskara.csv >"$FLEET_DIR/bad.csv"
+"$BUILD/lagoon-sheet" compile --sheet "$FLEET_DIR/bad.csv" \
+  --documents "$FLEET_DIR/documents" 2>"$FLEET_DIR/problems"
+same "a bad sheet" 2 $?
+same "eleven bad lines" 11 "$(grep -c ': slots: got "0"' "$FLEET_DIR/problems")"
+same "nothing is written" no \
+  "$([ -e "$FLEET_DIR/documents" ] && echo yes || echo no)"
+"$BUILD/lagoon-sheet" compile --sheet examples/tiskara.csv \
+  --documents "$FLEET_DIR/documents" >/dev/null
+same "a good sheet" 0 $?
+"$BUILD/lagoon-sheet" explain --documents "$FLEET_DIR/documents" \
+  --service members --caller crew-1 --flow 1 >/dev/null
+same "explain refuses a caller that is not named" 1 $?
+"$BUILD/lagoon-call" --to nowhere --service members --caller x --path y \
+  2>/dev/null
+same "a bad address" 2 $?
+finish
