--- a/bench/relay_program.hpp
+++ b/bench/relay_program.hpp
@@ -12,7 +12,7 @@
 
 // ---- relay_program ------------------------------------------------------
 
-class relay_program
+class relay_program : public quiet_program
 {
 public:
     relay_program(peer_address listen, peer_address sink)
@@ -48,16 +48,6 @@
         return stop_signals() > 0;
     }
 
-    void on_tick() {}
-
-    void on_http_request(exchange_id, http_request const&) {}
-
-    void on_http_gone(exchange_id) {}
-
-    void on_http_bytes(exchange_id, std::string_view) {}
-
-    void on_http_end(exchange_id, http_result const&) {}
-
 private:
     peer_address listen;
     peer_address sink;
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -86,9 +86,8 @@
                              time_point now);
     entry_effects route_by_token(peer_address from, flow_token const& token,
                                  caller_message const& message, time_point now);
-    std::optional<target_record> choose(service_part const& part,
-                                        open_request const& open,
-                                        time_point now) const;
+    target_record const* choose(service_part const& part,
+                                open_request const& open, time_point now) const;
     bool may_leave(open_request const& open, time_point now,
                    failure& last) const;
 
--- a/src/entry/entry.ipp
+++ b/src/entry/entry.ipp
@@ -98,17 +98,18 @@
 }
 
 template <random_source R>
-std::optional<target_record> entry<R>::choose(service_part const& part,
-                                              open_request const& open,
-                                              time_point now) const
+target_record const* entry<R>::choose(service_part const& part,
+                                      open_request const& open,
+                                      time_point now) const
 {
-    std::vector<target_record> const ranked = rank_targets(part, open.flow);
+    std::vector<target_record const*> const ranked =
+        rank_targets(part, open.flow);
     if (ranked.empty())
-        return std::nullopt;
+        return nullptr;
     std::size_t const first = open.attempt / detail::opens_per_target;
     for (std::size_t i = 0; i < ranked.size(); ++i) {
-        target_record const& one = ranked[(first + i) % ranked.size()];
-        if (!this->channels.is_silent(one.address, now))
+        target_record const* one = ranked[(first + i) % ranked.size()];
+        if (!this->channels.is_silent(one->address, now))
             return one;
     }
     return ranked[first % ranked.size()];
@@ -133,8 +134,8 @@
     if (goes_on && this->known.address_of(open.previous->target))
         return this->route_by_token(from, *open.previous, caller_message{open},
                                     now);
-    std::optional<target_record> const target = this->choose(part, open, now);
-    if (!target)
+    target_record const* target = this->choose(part, open, now);
+    if (target == nullptr)
         return {note_failure{detail::route_failure(
             reason::unreachable, from, "service has no serving target")}};
     lane const by = this->channels.send_to(target->address, now);
--- a/src/flow/ranking.cpp
+++ b/src/flow/ranking.cpp
@@ -49,11 +49,13 @@
 
 }  // namespace
 
-std::vector<target_record> rank_targets(service_part const& part, flow_key flow)
+std::vector<target_record const*> rank_targets(service_part const& part,
+                                               flow_key flow)
 {
-    std::vector<target_record> ranked;
+    std::vector<target_record const*> ranked;
+    ranked.reserve(part.targets.size());
     for (scored const& one : score_all(part, flow))
-        ranked.push_back(*one.target);
+        ranked.push_back(one.target);
     return ranked;
 }
 
--- a/src/flow/ranking.hpp
+++ b/src/flow/ranking.hpp
@@ -17,9 +17,10 @@
 
 constexpr double joining_share = 0.25;  // of the weight of a warm target
 
-// Targets that take new flows, best first; leaving ones are left out.
-std::vector<target_record> rank_targets(service_part const& part,
-                                        flow_key flow);
+// Targets that take new flows, best first; leaving ones are left out. The
+// pointers are into `part`.
+std::vector<target_record const*> rank_targets(service_part const& part,
+                                               flow_key flow);
 
 // The one at `place` among those that take new flows, wrapping round.
 // Empty when the service has none.
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -43,6 +43,22 @@
         } -> std::same_as<bool>;
 };
 
+// What a program without some of these inherits: it takes no notice of them.
+struct quiet_program
+{
+    void on_datagram(lane, peer_address, std::string_view) {}
+
+    void on_tick() {}
+
+    void on_http_request(exchange_id, http_request const&) {}
+
+    void on_http_gone(exchange_id) {}
+
+    void on_http_bytes(exchange_id, std::string_view) {}
+
+    void on_http_end(exchange_id, http_result const&) {}
+};
+
 // ---- loop_settings ------------------------------------------------------
 
 struct loop_settings
--- a/src/programs/ask_program.cpp
+++ b/src/programs/ask_program.cpp
@@ -73,14 +73,6 @@
     this->ask_more();
 }
 
-void ask_program::on_datagram(lane, peer_address, std::string_view) {}
-
-void ask_program::on_tick() {}
-
-void ask_program::on_http_request(exchange_id, http_request const&) {}
-
-void ask_program::on_http_gone(exchange_id) {}
-
 std::vector<asked_process> processes_of(catalog const& known)
 {
     std::vector<asked_process> processes;
--- a/src/programs/ask_program.hpp
+++ b/src/programs/ask_program.hpp
@@ -36,7 +36,7 @@
 
 // ---- ask_program --------------------------------------------------------
 
-class ask_program
+class ask_program : public quiet_program
 {
 public:
     explicit ask_program(std::vector<asked_process> processes);
@@ -44,10 +44,6 @@
     // Every process with its status, or with the reason why it has none.
     std::vector<asked_process> ask();
 
-    void on_datagram(lane by, peer_address from, std::string_view bytes);
-    void on_tick();
-    void on_http_request(exchange_id exchange, http_request const& request);
-    void on_http_gone(exchange_id exchange);
     void on_http_bytes(exchange_id exchange, std::string_view bytes);
     void on_http_end(exchange_id exchange, http_result const& result);
     bool wants_to_stop() const;
--- a/src/programs/call_program.cpp
+++ b/src/programs/call_program.cpp
@@ -123,14 +123,6 @@
     }
 }
 
-void call_program::on_http_request(exchange_id, http_request const&) {}
-
-void call_program::on_http_gone(exchange_id) {}
-
-void call_program::on_http_bytes(exchange_id, std::string_view) {}
-
-void call_program::on_http_end(exchange_id, http_result const&) {}
-
 // ---- effects ------------------------------------------------------------
 
 void call_program::perform(lane which, send_packet const& effect)
--- a/src/programs/call_program.hpp
+++ b/src/programs/call_program.hpp
@@ -56,7 +56,7 @@
 
 // ---- call_program -------------------------------------------------------
 
-class call_program
+class call_program : public quiet_program
 {
 public:
     explicit call_program(call_plan plan);
@@ -67,10 +67,6 @@
 
     void on_datagram(lane by, peer_address from, std::string_view bytes);
     void on_tick();
-    void on_http_request(exchange_id exchange, http_request const& request);
-    void on_http_gone(exchange_id exchange);
-    void on_http_bytes(exchange_id exchange, std::string_view bytes);
-    void on_http_end(exchange_id exchange, http_result const& result);
     bool wants_to_stop() const;
 
 private:
--- a/src/programs/command_line.cpp
+++ b/src/programs/command_line.cpp
@@ -2,24 +2,12 @@
 
 #include <boost/program_options.hpp>
 
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace lagoon {
 
 namespace po = boost::program_options;
 
-std::optional<std::string> read_file(std::string const& path)
-{
-    std::ifstream file{path, std::ios::binary};
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 void print_problems(std::vector<json_problem> const& problems)
 {
     for (json_problem const& problem : problems)
--- a/src/programs/command_line.hpp
+++ b/src/programs/command_line.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "platform/checked_json.hpp"
+#include "platform/files.hpp"
 
 #include <optional>
 #include <string>
@@ -41,9 +42,6 @@
                                                std::string const& program,
                                                int& exit_code);
 
-// The text of a file, or nothing.
-std::optional<std::string> read_file(std::string const& path);
-
 // One line each on standard error.
 void print_problems(std::vector<json_problem> const& problems);
 
--- a/src/programs/sheet_main.cpp
+++ b/src/programs/sheet_main.cpp
@@ -144,10 +144,11 @@
         return exit_failed;
     }
     std::size_t place = 0;
-    for (target_record const& target : rank_targets(*part, flow))
-        std::cout << ++place << ". " << target.name << " at "
-                  << to_text(target.address) << ", " << target.slots << " slots"
-                  << (target.state == target_state::joining
+    for (target_record const* target : rank_targets(*part, flow))
+        std::cout << ++place << ". " << target->name << " at "
+                  << to_text(target->address) << ", " << target->slots
+                  << " slots"
+                  << (target->state == target_state::joining
                           ? ", joining: a quarter of its weight"
                           : "")
                   << '\n';
--- a/src/sheet/folder.cpp
+++ b/src/sheet/folder.cpp
@@ -1,8 +1,9 @@
 #include "sheet/folder.hpp"
 
+#include "platform/files.hpp"
+
 #include <filesystem>
 #include <fstream>
-#include <sstream>
 
 namespace lagoon {
 
@@ -18,16 +19,6 @@
     std::string text = {};
 };
 
-std::optional<std::string> text_of(fs::path const& path)
-{
-    std::ifstream file{path, std::ios::binary};
-    if (!file)
-        return std::nullopt;
-    std::ostringstream text;
-    text << file.rdbuf();
-    return text.str();
-}
-
 // Whole or not at all: written beside, then renamed.
 bool write_whole(named_text const& what)
 {
@@ -49,7 +40,7 @@
               Parse parse)
 {
     json_checker checker{path.string()};
-    std::optional<std::string> const text = text_of(path);
+    std::optional<std::string> const text = read_file(path.string());
     auto const value = parse(checker, text.value_or(std::string{}));
     problems.insert(problems.end(), checker.problems().begin(),
                     checker.problems().end());
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -253,11 +253,12 @@
     if (open.hops != 0 || open.attempt > 1 || !busy)
         return false;
     service_part const* part = this->known.find_service(open.service);
-    std::vector<target_record> const ranked = rank_targets(*part, open.flow);
-    if (ranked.size() < 2 || ranked[0].id != this->settings.self)
+    std::vector<target_record const*> const ranked =
+        rank_targets(*part, open.flow);
+    if (ranked.size() < 2 || ranked[0]->id != this->settings.self)
         return false;
     this->effects.push_back(
-        hand_over{ranked[1].address,
+        hand_over{ranked[1]->address,
                   {packet.caller, entry, this->settings.address, passed}});
     return true;
 }
--- a/tests/stand_ins/back_end.cpp
+++ b/tests/stand_ins/back_end.cpp
@@ -16,6 +16,8 @@
 
 namespace {
 
+constexpr int cold_factor = 5;  // times longer
+
 struct running_request
 {
     time_point due = {};
@@ -45,12 +47,12 @@
     return answer;
 }
 
-class back_end_program
+class back_end_program : public quiet_program
 {
 public:
     back_end_program(peer_address listen, std::size_t slots,
-                     std::size_t reported_load)
-        : slots(slots), reported_load(reported_load),
+                     std::size_t cold_runs, std::size_t reported_load)
+        : slots(slots), cold_runs(cold_runs), reported_load(reported_load),
           loop(*this, {listen, std::chrono::milliseconds{2}})
     {
     }
@@ -74,11 +76,16 @@
                               std::to_string(this->reported_load) + "\n", 0});
             return;
         }
+        if (request.path == "/drain") {
+            this->draining = true;
+            this->loop.reply(exchange, {200, "text/plain", "draining\n", 0});
+            return;
+        }
         if (!request.path.starts_with("/run/")) {
             this->loop.reply(exchange, {404, "text/plain", "", 0});
             return;
         }
-        if (this->running.size() >= this->slots) {
+        if (this->draining || this->running.size() >= this->slots) {
             this->loop.reply(exchange, {503, "text/plain", "", 1});
             return;
         }
@@ -105,12 +112,6 @@
             this->finish(exchange);
     }
 
-    void on_datagram(lane, peer_address, std::string_view) {}
-
-    void on_http_bytes(exchange_id, std::string_view) {}
-
-    void on_http_end(exchange_id, http_result const&) {}
-
 private:
     void begin(exchange_id exchange, http_request const& request)
     {
@@ -126,6 +127,12 @@
                                    name, static_cast<std::size_t>(bytes)};
     }
 
+    // A cold back end takes longer over its first runs.
+    int slowness()
+    {
+        return this->begun++ < this->cold_runs ? cold_factor : 1;
+    }
+
     void finish(exchange_id exchange)
     {
         running_request const done = this->running[exchange];
@@ -136,6 +143,9 @@
     }
 
     std::size_t slots;
+    std::size_t cold_runs;
+    std::size_t begun = 0;
+    bool draining = false;
     std::size_t reported_load;
     std::map<exchange_id, running_request> running = {};
     event_loop<back_end_program> loop;
@@ -151,15 +161,18 @@
     using namespace lagoon::stand_ins;
     po::options_description options{"stand-in for a back end"};
     options.add_options()("listen", po::value<std::string>()->required(),
-                          "address")(
-        "slots", po::value<std::size_t>()->default_value(2),
-        "requests at once")("load", po::value<std::size_t>()->default_value(0),
-                            "load that it claims");
+                          "address")("slots",
+                                     po::value<std::size_t>()->default_value(2),
+                                     "requests at once")(
+        "cold-runs", po::value<std::size_t>()->default_value(0),
+        "first runs that take longer")(
+        "load", po::value<std::size_t>()->default_value(0),
+        "load that it claims");
     po::variables_map const given = read_options(count, arguments, options);
     catch_stop_signals();
-    back_end_program program{address_option(given, "listen"),
-                             given["slots"].as<std::size_t>(),
-                             given["load"].as<std::size_t>()};
+    back_end_program program{
+        address_option(given, "listen"), given["slots"].as<std::size_t>(),
+        given["cold-runs"].as<std::size_t>(), given["load"].as<std::size_t>()};
     program.run();
     return 0;
 }
--- a/tests/stand_ins/fabric.cpp
+++ b/tests/stand_ins/fabric.cpp
@@ -35,7 +35,7 @@
 
 constexpr duration lateness = std::chrono::milliseconds{15};
 
-class fabric_program
+class fabric_program : public quiet_program
 {
 public:
     fabric_program(peer_address listen, std::vector<peer_address> entries,
@@ -87,14 +87,6 @@
         }
     }
 
-    void on_http_request(exchange_id, http_request const&) {}
-
-    void on_http_gone(exchange_id) {}
-
-    void on_http_bytes(exchange_id, std::string_view) {}
-
-    void on_http_end(exchange_id, http_result const&) {}
-
 private:
     bool happens(std::uint64_t share)
     {
--- a/tests/stand_ins/platform.cpp
+++ b/tests/stand_ins/platform.cpp
@@ -38,7 +38,7 @@
     http_reply reply = {};
 };
 
-class platform_program
+class platform_program : public quiet_program
 {
 public:
     platform_program(peer_address listen, std::string folder, std::size_t rate)
@@ -94,12 +94,6 @@
         this->watches.erase(exchange);
     }
 
-    void on_datagram(lane, peer_address, std::string_view) {}
-
-    void on_http_bytes(exchange_id, std::string_view) {}
-
-    void on_http_end(exchange_id, http_result const&) {}
-
 private:
     http_reply steer(http_request const& request)
     {
--- a/tests/stories/codec_story.cpp
+++ b/tests/stories/codec_story.cpp
@@ -129,7 +129,7 @@
 }
 
 // Whatever a changed byte makes of a packet, it is read or refused; the
-// sanitizers of scripts/check-fuzz look for more.
+// sanitizers of scripts/check-sanitizers look for more.
 TEST(codec_that_gets_damaged_packets, survives_any_changed_byte)
 {
     std::size_t refused = 0;
