Listen at the configured address only

Cause: libwebsockets bound every listener to [::], whatever address it was given: the control port of an entry or target was open on all of its VM's addresses, and two fleets on one machine answered for each other. Ruled out: equal loopback addresses (they're taken by process id now, and the runs still failed). Change: IPv6 is off for the context and its host. Measured: inputs.sh, 'and at no other': red before, green after.

--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -17,15 +17,17 @@
   echo "fleet: $*" >&2
 }
 
-# Picks 127.a.b.c where nothing answers at the platform's port.
+# Picks 127.a.b.c by the shell's process id, so that two runs at once differ,
+# where nothing answers at the platform's port.
 fleet_pick_ip() {
   local try
   for try in 1 2 3 4 5 6 7 8 9 10; do
-    FLEET_IP=127.$((RANDOM % 200 + 10)).$((RANDOM % 250 + 1)).$((RANDOM % 250 + 1))
+    FLEET_IP=127.$(($$ % 200 + 10)).$(($$ / 200 % 250 + 1)).$((RANDOM % 250 + 1))
     if ! (exec 3<>"/dev/tcp/$FLEET_IP/8000") 2>/dev/null; then
       return 0
     fi
   done
+  fleet_note "no free loopback address"
   return 1
 }
 
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -71,7 +71,9 @@
                        {"client", &event_loop::on_client, 0, 0, 0, nullptr, 0},
                        {nullptr, nullptr, 0, 0, 0, nullptr, 0}};
     lws_context_creation_info info{};
-    info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+    // Without the second, a listener is bound to every address of the VM.
+    info.options =
+        LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.user = this;
     info.pt_serv_buf_size = detail::service_buffer;
     info.fd_limit_per_thread = detail::most_descriptors;
--- a/tests/processes/inputs.sh
+++ b/tests/processes/inputs.sh
@@ -45,4 +45,17 @@
 "$BUILD/lagoon-call" --to nowhere --service members --caller x --path y \
   2>/dev/null
 same "a bad address" 2 $?
+
+# Found by two fleets at once: the control port was open on every address.
+fleet_pick_ip
+fleet_start listener "$BUILD/stand-in-platform" --listen "$FLEET_IP:8000" \
+  --folder "$FLEET_DIR"
+for _ in 1 2 3 4 5 6 7 8 9 10; do
+  (exec 3<>"/dev/tcp/$FLEET_IP/8000") 2>/dev/null && break
+  sleep 0.2
+done
+(exec 3<>"/dev/tcp/$FLEET_IP/8000") 2>/dev/null
+same "a program listens at its own address" 0 $?
+(exec 3<>"/dev/tcp/127.255.1.1/8000") 2>/dev/null
+same "and at no other" 1 $?
 finish
