Mend what a second reading of the target found

Cause: read whole, the target turned a token into its flow in three places, worked the way back out twice, built the same status twice, clamped to whole segments beside send_segments, which does so itself, and on every change went through all services of the catalog to see which it leaves, keeping a record for each that never named it. Change: verified_flow, status_of and the return path serve all; only the services that have named the target are looked at and remembered. One difference: a service that is removed outright counts as left, where before its open flows went on. answer_store::held had no caller and is gone.

--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -126,8 +126,8 @@
         return;
     }
     this->reading_since.reset();
-    this->platform_compared =
-        true;  // it was asked; there is no more to wait for
+    // It was asked; there is no more to wait for.
+    this->platform_compared = true;
     this->earliest_read = now + reading_step;
 }
 
--- a/src/request/answers.cpp
+++ b/src/request/answers.cpp
@@ -52,9 +52,4 @@
     return this->total >= this->most;
 }
 
-std::size_t answer_store::held() const
-{
-    return this->total;
-}
-
 }  // namespace lagoon
--- a/src/request/answers.hpp
+++ b/src/request/answers.hpp
@@ -43,7 +43,6 @@
 
     // Whether the bound is reached, so that no further run should start.
     bool is_full() const;
-    std::size_t held() const;
 
 private:
     struct held_answer
--- a/src/target/target.hpp
+++ b/src/target/target.hpp
@@ -200,14 +200,18 @@
 
     std::optional<reason> refuses_open(open_request const& open,
                                        time_point now) const;
-    bool hands_over(inward_arrived const& event, open_request const& open,
-                    time_point now);
+    bool hands_over(return_path const& back, inward_arrived const& event,
+                    open_request const& open, time_point now);
     void admit_flow(return_path const& back, open_request const& open,
                     peer_address handed_by, time_point now);
     bool takes_new_work(service_id service, time_point now) const;
 
-    // The flow that a token stands for; answers the caller where there is
-    // none.
+    // The flow that a token stands for. Errors: those of token_mint::verify
+    // and flow_table::use.
+    std::optional<flow_record> verified_flow(flow_token const& token,
+                                             time_point now, failure& last);
+
+    // The same for one request; answers the caller where there is none.
     std::optional<flow_record> flow_for(return_path const& back,
                                         flow_token const& token,
                                         request_number number, time_point now);
@@ -226,7 +230,7 @@
     void tell(return_path const& back, answer_message const& message);
     void send_segments(request_key key, std::uint64_t begin, std::uint64_t end);
     void note(step at, reason why, peer_address peer, std::string detail);
-    void watch_leaving(time_point now);
+    void watch_leaving(catalog_change const& change, time_point now);
     void refuse_overdue(time_point now);
 
     target_settings settings;
@@ -242,6 +246,7 @@
     std::set<request_key> settled_early = {};
     std::uint64_t last_run = 0;
     bool stopping = false;
+    std::set<service_id> own_services = {};  // that have named this target
     std::map<service_id, time_point> left_at = {};
     time_point last_expiry = {};
     target_effects effects = {};  // of the event in hand
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -14,6 +14,13 @@
     return {token.flow, number};
 }
 
+// The status of a request that the ledger has no record of.
+inline request_status status_of(flow_token const& token, request_number number,
+                                request_state state, reason why)
+{
+    return {token.service, token.flow, number, state, why, 0, {}, {}};
+}
+
 inline std::optional<time_point> deadline_of(submit_request const& submit,
                                              time_point now)
 {
@@ -226,7 +233,7 @@
                                       detail::cold_retry});
         return;
     }
-    if (!known_flow && this->hands_over(event, open, now))
+    if (!known_flow && this->hands_over(back, event, open, now))
         return;
     this->admit_flow(back, open, event.packet.handed_by, now);
 }
@@ -234,19 +241,17 @@
 // Two choices: the first-ranked target passes an open to the second when it
 // has work waiting; the second passes it back unless it has less.
 template <target_policy P>
-bool target<P>::hands_over(inward_arrived const& event,
+bool target<P>::hands_over(return_path const& back, inward_arrived const& event,
                            open_request const& open, time_point now)
 {
     std::uint32_t const own = this->load(now);
-    inward_packet const& packet = event.packet;
-    peer_address const entry =
-        packet.entry == peer_address{} ? event.from : packet.entry;
     open_request passed = open;
     passed.hops = static_cast<std::uint8_t>(open.hops + 1);
     passed.load = own;
     if (open.hops == 1 && own >= open.load) {
         this->effects.push_back(hand_over{
-            event.from, {packet.caller, entry, packet.handed_by, passed}});
+            event.from,
+            {back.caller, back.entry, event.packet.handed_by, passed}});
         return true;
     }
     bool const busy = P::hands_over && own >= this->gate.slots();
@@ -259,7 +264,7 @@
         return false;
     this->effects.push_back(
         hand_over{ranked[1]->address,
-                  {packet.caller, entry, this->settings.address, passed}});
+                  {back.caller, back.entry, this->settings.address, passed}});
     return true;
 }
 
@@ -287,6 +292,15 @@
 
 // ---- requests -----------------------------------------------------------
 
+template <target_policy P>
+std::optional<flow_record>
+target<P>::verified_flow(flow_token const& token, time_point now, failure& last)
+{
+    if (!this->mint.verify(token, last))
+        return std::nullopt;
+    return this->flows.use(token, now, last);
+}
+
 // Another epoch, or a closed flow, answers `unknown`, never `not_run`: this
 // process can't know what ran before it started, or what it has forgotten.
 template <target_policy P>
@@ -295,9 +309,8 @@
                     request_number number, time_point now)
 {
     failure last;
-    std::optional<flow_record> flow;
-    if (this->mint.verify(token, last))
-        flow = this->flows.use(token, now, last);
+    std::optional<flow_record> const flow =
+        this->verified_flow(token, now, last);
     if (flow && !this->is_settled_early({token.flow, number}, *flow))
         return flow;
     if (flow)
@@ -305,14 +318,8 @@
     this->note(last.at, last.why, back.caller, last.detail);
     if (last.why == reason::bad_token)
         return std::nullopt;  // a forger gets no answer
-    this->tell(back, request_status{token.service,
-                                    token.flow,
-                                    number,
-                                    request_state::unknown,
-                                    last.why,
-                                    0,
-                                    {},
-                                    {}});
+    this->tell(back, detail::status_of(token, number, request_state::unknown,
+                                       last.why));
     return std::nullopt;
 }
 
@@ -330,14 +337,9 @@
     request_record const* known = this->ledger.find(key);
     if (known != nullptr && !detail::is_copy(*known, submit)) {
         // Its number is taken by another request, so it never runs.
-        this->tell(back, request_status{submit.token.service,
-                                        key.flow,
-                                        key.number,
-                                        request_state::not_run,
-                                        reason::duplicate,
-                                        0,
-                                        {},
-                                        {}});
+        this->tell(back, detail::status_of(submit.token, submit.number,
+                                           request_state::not_run,
+                                           reason::duplicate));
         return;
     }
     if (known == nullptr)
@@ -477,8 +479,7 @@
                            inward_arrived const&, time_point now)
 {
     failure last;
-    if (!this->mint.verify(done.token, last) ||
-        !this->flows.use(done.token, now, last)) {
+    if (!this->verified_flow(done.token, now, last)) {
         this->note(last.at, last.why, back.caller, last.detail);
         return;
     }
@@ -532,9 +533,8 @@
                            inward_arrived const&, time_point now)
 {
     failure last;
-    std::optional<flow_record> flow;
-    if (this->mint.verify(close.token, last))
-        flow = this->flows.use(close.token, now, last);
+    std::optional<flow_record> const flow =
+        this->verified_flow(close.token, now, last);
     if (!flow)
         this->note(last.at, last.why, back.caller, last.detail);
     else if (flow->unsettled == 0) {
@@ -555,12 +555,9 @@
     std::uint64_t const before = this->answers.length(key);
     this->answers.append(key, event.bytes);
     request_record const* record = this->ledger.find(key);
-    // Whole segments only; the rest goes out with the end.
-    std::uint64_t const whole = this->answers.length(key) / segment_size;
+    // What wasn't whole before goes out now, the last part with the end.
     std::uint64_t const begin = before / segment_size * segment_size;
-    std::uint64_t const end =
-        std::min<std::uint64_t>(whole * segment_size, record->wanted_end);
-    this->send_segments(key, begin, end);
+    this->send_segments(key, begin, record->wanted_end);
 }
 
 template <target_policy P>
@@ -619,13 +616,19 @@
 void target<P>::on_event(change_arrived const& event, time_point now)
 {
     take_change(this->effects, this->known, this->member, event, now);
-    this->watch_leaving(now);
+    if (event.change)
+        this->watch_leaving(*event.change, now);
 }
 
-// Remembers when each service of this target began to leave it.
-template <target_policy P> void target<P>::watch_leaving(time_point now)
+// Remembers when each service of this target began to leave it. Only the
+// services that have named it are looked at: the catalog is large.
+template <target_policy P>
+void target<P>::watch_leaving(catalog_change const& change, time_point now)
 {
-    for (auto const& [id, part] : this->known.services()) {
+    for (service_part const& part : change.parts)
+        if (this->known.state_of(part.id, this->settings.self))
+            this->own_services.insert(part.id);
+    for (service_id const id : this->own_services) {
         std::optional<target_state> const state =
             this->known.state_of(id, this->settings.self);
         bool const left = !state || *state == target_state::leaving;
@@ -664,7 +667,7 @@
 void target<P>::on_event(stop_asked const&, time_point now)
 {
     this->stopping = true;
-    for (auto const& [id, part] : this->known.services())
+    for (service_id const id : this->own_services)
         this->left_at.try_emplace(id, now);
 }
 
