--- a/bench/decisions.cpp
+++ b/bench/decisions.cpp
@@ -1,7 +1,7 @@
 // What one decision costs, and how it grows: the slopes of docs/CAPACITY.md.
 
+#include "documents/documents.hpp"
 #include "fakes/fake_fleet.hpp"
-#include "platform/documents.hpp"
 #include "wire/codec.hpp"
 
 #include <benchmark/benchmark.h>
--- a/bench/packets.cpp
+++ b/bench/packets.cpp
@@ -6,7 +6,7 @@
 // The driver keeps a window of packets under way and counts those that reach
 // the sink, the address that the catalog gives for the target.
 
-#include "platform/checked_json.hpp"
+#include "documents/checked_json.hpp"
 #include "relay_program.hpp"
 #include "wire/codec.hpp"
 
--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -2,6 +2,7 @@
 //
 // Index
 //   refusal     why a request was turned away, and when to come back
+//   urgency     until when a request is of use
 //   admission   the aggregate, over a queue policy and a predictor
 #pragma once
 
@@ -11,6 +12,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoon {
 
@@ -26,20 +28,26 @@
 struct admission_limits
 {
     std::uint32_t slots = 1;         // requests run at once
+    std::uint32_t ahead = 0;         // started beyond the slots
     std::size_t most_waiting = 256;  // requests queued at once
     duration cold_span = {};         // a cold target ramps up this long
+
+    // A request may spend this share of its time to the deadline waiting.
+    // Less than all of it: predictions are too short whenever a straggler
+    // runs.
+    double most_waiting_share = 0.25;
+
     auto operator<=>(admission_limits const&) const = default;
 };
 
-// A request may spend this share of its time to the deadline waiting. Less
-// than all of it: predictions are too short whenever a straggler runs.
-constexpr double most_waiting_share = 0.25;
-
-inline duration waiting_share(time_point deadline, time_point now)
+// Until when a request is of use, and to whom it yields.
+struct request_urgency
 {
-    auto const left = static_cast<double>((deadline - now).count());
-    return duration{static_cast<std::int64_t>(left * most_waiting_share)};
-}
+    std::optional<time_point> deadline = {};   // of no use after it
+    time_point objective = time_point::max();  // worth less after it
+    std::uint8_t priority = 0;                 // 0 is the most urgent
+    auto operator<=>(request_urgency const&) const = default;
+};
 
 // ---- admission ----------------------------------------------------------
 
@@ -54,15 +62,22 @@
     // Queues a request, or says why not. A request whose predicted wait
     // passes its deadline is refused at once: better now than too late.
     std::optional<refusal> offer(request_key key, work_kind const& kind,
-                                 std::optional<time_point> deadline,
-                                 time_point now)
+                                 request_urgency const& urgency, time_point now)
     {
-        waiting_request const request{key, kind.caller,
-                                      this->predictor.predict(kind), now};
+        waiting_request const request{
+            key,
+            kind.caller,
+            this->predictor.predict(kind),
+            now,
+            urgency.objective,
+            urgency.deadline.value_or(time_point::max()),
+            urgency.priority};
         duration const wait = this->predicted_wait(request, now);
         if (this->queue.size() >= this->limits.most_waiting)
             return refusal{reason::overloaded, wait};
-        bool const hopeless = deadline && wait > waiting_share(*deadline, now);
+        bool const hopeless =
+            urgency.deadline &&
+            wait > this->waiting_share(*urgency.deadline, now);
         if (hopeless)
             return refusal{reason::overloaded, wait};
         this->queue.push(request);
@@ -73,7 +88,7 @@
     // The next request to run, while a slot is free.
     std::optional<waiting_request> next(time_point now)
     {
-        if (this->running.size() >= this->open_slots(now))
+        if (this->running.size() >= this->open_slots(now) + this->limits.ahead)
             return std::nullopt;
         std::optional<waiting_request> const picked =
             this->queue.pop(this->use(), now);
@@ -83,6 +98,68 @@
         return picked;
     }
 
+    // A request that came by no offer runs: it takes a slot all the same.
+    void occupy(request_key key, work_kind const& kind, time_point now)
+    {
+        waiting_request const request{key, kind.caller,
+                                      this->predictor.predict(kind), now};
+        this->kinds.insert_or_assign(key, kind);
+        this->running.insert_or_assign(key,
+                                       running_request{request, now, true});
+    }
+
+    // Whether a request offered now would start at once, within the slots.
+    bool has_free_slot(time_point now) const
+    {
+        return this->queue.size() == 0 &&
+               this->running.size() < this->open_slots(now);
+    }
+
+    bool is_running(request_key key) const
+    {
+        return this->running.contains(key);
+    }
+
+    // Waiting requests that no slot can serve in time any more leave.
+    std::vector<waiting_request> take_expired(time_point now) requires
+        requires(Queue& queue)
+    {
+        queue.take_expired(now);
+    }
+    {
+        std::vector<waiting_request> const over = this->queue.take_expired(now);
+        for (waiting_request const& one : over)
+            this->kinds.erase(one.key);
+        return over;
+    }
+
+    // A request that was given a slot ahead of its data has begun to run.
+    void begun(request_key key, time_point now)
+    {
+        auto const run = this->running.find(key);
+        if (run != this->running.end())
+            run->second = {run->second.what, now, true};
+    }
+
+    // Slots that are held for nothing: no request came within the first
+    // span, or one has run longer than any does, so that its end was lost.
+    std::vector<request_key> held_in_vain(duration until_begun,
+                                          duration longest_run,
+                                          time_point now) const
+    {
+        std::vector<request_key> keys;
+        for (auto const& [key, run] : this->running)
+            if (now - run.since > (run.has_begun ? longest_run : until_begun))
+                keys.push_back(key);
+        return keys;
+    }
+
+    // The target's number of slots is what its operator publishes.
+    void set_slots(std::uint32_t slots)
+    {
+        this->limits.slots = slots;
+    }
+
     // A running request is over; the predictor learns how long it took.
     void finished(request_key key, time_point now)
     {
@@ -113,6 +190,11 @@
         return this->limits.slots;
     }
 
+    std::size_t waiting() const
+    {
+        return this->queue.size();
+    }
+
     duration predicted_wait(waiting_request const& request,
                             time_point now) const
     {
@@ -127,9 +209,17 @@
     {
         waiting_request what = {};
         time_point since = {};
+        bool has_begun = false;  // its data reached the back end
         auto operator<=>(running_request const&) const = default;
     };
 
+    duration waiting_share(time_point deadline, time_point now) const
+    {
+        auto const left = static_cast<double>((deadline - now).count());
+        return duration{
+            static_cast<std::int64_t>(left * this->limits.most_waiting_share)};
+    }
+
     // A cold target opens its slots one after the other.
     std::uint32_t open_slots(time_point now) const
     {
--- /dev/null
+++ b/src/admission/objective_queue.hpp
@@ -0,0 +1,107 @@
+// The order of waiting requests that have a latency objective: those that can
+// still meet it first, the rest when nothing else waits.
+//
+// Index
+//   objective_queue   the queue policy
+#pragma once
+
+#include "admission/queues.hpp"
+
+namespace lagoon {
+
+// ---- objective_queue ----------------------------------------------------
+
+// Load pattern: the crowd after an outage. Every caller repeats itself within
+// half a second, so for that time more work arrives than the slots can do.
+// Served in order of arrival all of it is late, and what arrives meanwhile
+// too. Here new work is served within its objective, and the crowd, which is
+// late already, takes the slots that are left.
+//
+// Among requests that can meet their objective the more urgent priority goes
+// first, then the earlier objective. Among late ones the latest arrival: it
+// is the one whose caller waits longest yet.
+class objective_queue
+{
+public:
+    void push(waiting_request const& request)
+    {
+        this->waiting.push_back(request);
+    }
+
+    std::optional<waiting_request> pop(slot_use const&, time_point now)
+    {
+        auto const best = std::min_element(
+            this->waiting.begin(), this->waiting.end(),
+            [now](waiting_request const& a, waiting_request const& b) {
+                return goes_before(a, b, now);
+            });
+        if (best == this->waiting.end())
+            return std::nullopt;
+        waiting_request const picked = *best;
+        this->waiting.erase(best);
+        return picked;
+    }
+
+    bool remove(request_key key)
+    {
+        return std::erase_if(this->waiting, [key](auto const& one) {
+                   return one.key == key;
+               }) > 0;
+    }
+
+    std::size_t size() const
+    {
+        return this->waiting.size();
+    }
+
+    // Running time that goes before a request that would arrive now.
+    duration work_before(waiting_request const& request) const
+    {
+        duration sum{};
+        for (waiting_request const& one : this->waiting)
+            if (goes_before(one, request, request.arrived))
+                sum += one.predicted;
+        return sum;
+    }
+
+    // Requests that would end after their deadline if they started now.
+    std::vector<waiting_request> take_expired(time_point now)
+    {
+        std::vector<waiting_request> over;
+        std::erase_if(this->waiting, [&over, now](auto const& one) {
+            bool const is_over = one.deadline != time_point::max() &&
+                                 now + one.predicted > one.deadline;
+            if (is_over)
+                over.push_back(one);
+            return is_over;
+        });
+        return over;
+    }
+
+private:
+    static bool is_late(waiting_request const& request, time_point now)
+    {
+        return request.objective != time_point::max() &&
+               now + request.predicted > request.objective;
+    }
+
+    static bool goes_before(waiting_request const& a, waiting_request const& b,
+                            time_point now)
+    {
+        bool const a_late = is_late(a, now);
+        bool const b_late = is_late(b, now);
+        if (a_late != b_late)
+            return b_late;
+        if (a.priority != b.priority)
+            return a.priority < b.priority;
+        if (a_late)
+            return a.arrived > b.arrived;
+        return a.objective < b.objective;
+    }
+
+    std::vector<waiting_request> waiting = {};
+};
+
+static_assert(queue_policy<objective_queue>);
+
+}  // namespace lagoon
--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -38,13 +38,28 @@
     return hash_address(seed, entry.control);
 }
 
+std::uint64_t hash_route(std::uint64_t seed, route_record const& route)
+{
+    seed = hash_address(seed, route.address);
+    for (weighted_service const& share : route.services) {
+        seed = hash_pair(share.service.value, seed);
+        seed = hash_pair(share.weight, seed);
+    }
+    seed = hash_pair(static_cast<std::uint64_t>(route.objective.count()), seed);
+    seed = hash_pair(static_cast<std::uint64_t>(route.deadline.count()), seed);
+    seed = hash_pair(route.priority, seed);
+    return hash_pair(route.is_idempotent ? 1U : 0U, seed);
+}
+
 }  // namespace
 
 // ---- records ------------------------------------------------------------
 
+// A digest is of the contents alone: two processes that came to them by other
+// reads may date them differently.
 digest digest_of(service_part const& part)
 {
-    std::uint64_t seed = hash_pair(part.id.value, part.changed_at.value);
+    std::uint64_t seed = part.id.value;
     seed = hash_text(seed, part.name);
     for (caller_id const caller : part.callers)
         seed = hash_pair(caller.value, seed);
@@ -55,12 +70,23 @@
 
 digest digest_of(fleet_part const& part)
 {
-    std::uint64_t seed = part.changed_at.value;
+    std::uint64_t seed = 0;
     for (entry_record const& entry : part.entries)
         seed = hash_entry(seed, entry);
     return {seed};
 }
 
+digest digest_of(routes_part const& part)
+{
+    std::uint64_t seed = 0;
+    for (route_record const& route : part.routes)
+        seed = hash_route(seed, route);
+    if (part.idle_lifetime != duration{})
+        seed = hash_pair(static_cast<std::uint64_t>(part.idle_lifetime.count()),
+                         seed);
+    return {seed};
+}
+
 // ---- catalog ------------------------------------------------------------
 
 // The catalog's digest once the change is applied: a sum over the parts, so
@@ -84,6 +110,10 @@
         sum -= digest_of(from.fleet).value;
     if (change.fleet || whole)
         sum += digest_of(change.fleet.value_or(fleet_part{})).value;
+    if (change.routes && !whole)
+        sum -= digest_of(from.routes).value;
+    if (change.routes || whole)
+        sum += digest_of(change.routes.value_or(routes_part{})).value;
     return {sum};
 }
 
@@ -109,6 +139,8 @@
         }
     if (change.fleet)
         this->now.fleet = *change.fleet;
+    if (change.routes)
+        this->now.routes = *change.routes;
     this->now.version = {change.to, change.whole};
 }
 
@@ -199,6 +231,22 @@
     return this->now.fleet;
 }
 
+routes_part const& catalog::routes() const
+{
+    return this->now.routes;
+}
+
+route_record const* catalog::find_route(peer_address address) const
+{
+    std::vector<route_record> const& all = this->now.routes.routes;
+    auto const found =
+        std::lower_bound(all.begin(), all.end(), address,
+                         [](route_record const& route, peer_address wanted) {
+                             return route.address < wanted;
+                         });
+    return found != all.end() && found->address == address ? &*found : nullptr;
+}
+
 std::map<service_id, service_part> const& catalog::services() const
 {
     return this->now.services;
@@ -214,14 +262,18 @@
     for (auto const& [id, when] : this->now.removed)
         if (when > base && base != generation{})
             removed.push_back(id);
-    bool const fleet_changed =
-        base == generation{} || this->now.fleet.changed_at > base;
+    // What was never published isn't part of the whole.
+    bool const fleet_changed = base == generation{}
+                                   ? this->now.fleet != fleet_part{}
+                                   : this->now.fleet.changed_at > base;
+    bool const routes_changed = this->now.routes.changed_at > base;
     return {base,
             this->now.version.number,
             this->now.version.content,
             parts,
             removed,
-            fleet_changed ? std::optional{this->now.fleet} : std::nullopt};
+            fleet_changed ? std::optional{this->now.fleet} : std::nullopt,
+            routes_changed ? std::optional{this->now.routes} : std::nullopt};
 }
 
 }  // namespace lagoon
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -2,7 +2,7 @@
 // callers may reach it. Operators publish it; nothing here writes it.
 //
 // Index
-//   records   targets, entries, services, as published
+//   records   targets, entries, services, routes, as published
 //   changes   what moves a catalog from one generation to a later one
 //   catalog   the aggregate: adopts only what is newer, answers look-ups
 #pragma once
@@ -65,8 +65,36 @@
     auto operator<=>(fleet_part const&) const = default;
 };
 
+struct weighted_service
+{
+    service_id service = {};
+    std::uint32_t weight = 1;  // share of the route's new connections
+    auto operator<=>(weighted_service const&) const = default;
+};
+
+// Where connections to one address go, and what their requests are owed.
+struct route_record
+{
+    peer_address address = {};  // what callers connect to
+    std::vector<weighted_service> services = {};
+    duration objective = {};     // latency objective of a request
+    duration deadline = {};      // a later answer is of no use
+    std::uint8_t priority = 0;   // 0 is the most urgent
+    bool is_idempotent = false;  // its requests may run more than once
+    auto operator<=>(route_record const&) const = default;
+};
+
+struct routes_part
+{
+    generation changed_at = {};
+    std::vector<route_record> routes = {};  // sorted by address
+    duration idle_lifetime = {};  // idle connections may be forgotten; 0: never
+    auto operator<=>(routes_part const&) const = default;
+};
+
 digest digest_of(service_part const& part);
 digest digest_of(fleet_part const& part);
+digest digest_of(routes_part const& part);
 
 // ---- changes ------------------------------------------------------------
 
@@ -80,6 +108,7 @@
     std::vector<service_part> parts = {};
     std::vector<service_id> removed = {};
     std::optional<fleet_part> fleet = {};
+    std::optional<routes_part> routes = {};
     bool operator==(catalog_change const&) const = default;
 };
 
@@ -113,6 +142,10 @@
     std::optional<target_state> state_of(service_id service,
                                          target_id id) const;
     fleet_part const& fleet() const;
+    routes_part const& routes() const;
+
+    // The route of an address; nothing when there is none.
+    route_record const* find_route(peer_address address) const;
     std::map<service_id, service_part> const& services() const;
 
     // Everything that changed after `base`, for a peer that is behind.
@@ -124,6 +157,7 @@
         std::map<service_id, service_part> services = {};
         std::map<service_id, generation> removed = {};  // tombstones
         fleet_part fleet = {};
+        routes_part routes = {};
         catalog_version version = {};
     };
 
--- /dev/null
+++ b/src/catalog/published.cpp
@@ -0,0 +1,126 @@
+#include "catalog/published.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace lagoon {
+
+namespace {
+
+target_record record_of(std::string const& key, published_target const& from)
+{
+    // Another life under the same key is another target.
+    std::string const name = key + "@" + std::to_string(from.started);
+    return {target_named(name), name,       from.data_centre, from.address,
+            from.address,       from.slots, from.state};
+}
+
+std::vector<route_record> sorted(std::vector<route_record> routes)
+{
+    std::sort(routes.begin(), routes.end());
+    return routes;
+}
+
+}  // namespace
+
+generation published_set::known() const
+{
+    return this->revision;
+}
+
+void published_set::forget()
+{
+    *this = published_set{};
+}
+
+// The parts as the keys have them. After a loss of power the keys of the dead
+// targets stay for a while at addresses where new ones run: of two targets at
+// one address the one whose key is younger stands.
+std::map<service_id, service_part>
+published_set::parts_at(generation upto) const
+{
+    std::map<peer_address, std::string> youngest;
+    for (auto const& [key, target] : this->targets) {
+        auto const [at, is_first] = youngest.emplace(target.address, key);
+        if (!is_first && this->targets.at(at->second).created < target.created)
+            at->second = key;
+    }
+    std::map<service_id, service_part> made;
+    for (auto const& [key, target] : this->targets) {
+        if (youngest.at(target.address) != key)
+            continue;
+        service_id const id = service_named(target.service);
+        service_part& part = made[id];
+        part.id = id;
+        part.name = target.service;
+        part.changed_at = upto;
+        part.targets.push_back(record_of(key, target));
+    }
+    return made;
+}
+
+std::optional<catalog_change> published_set::take(publication const& what)
+{
+    if (!what.is_whole && this->revision == generation{})
+        return std::nullopt;
+    if (what.is_whole)
+        this->targets.clear();
+    for (published_key const& one : what.keys) {
+        if (one.target)
+            this->targets.insert_or_assign(one.key, *one.target);
+        else
+            this->targets.erase(one.key);
+    }
+    return this->change_to(what);
+}
+
+// A service without any target has no part.
+void published_set::replace_parts(catalog_change& change)
+{
+    std::map<service_id, service_part> made = this->parts_at(change.to);
+    bool const is_whole = change.base == generation{};
+    for (auto& [id, part] : made) {
+        auto const old = this->parts.find(id);
+        bool const same =
+            old != this->parts.end() && old->second.targets == part.targets;
+        if (same)
+            part.changed_at = old->second.changed_at;
+        if (!same || is_whole)
+            change.parts.push_back(part);
+    }
+    for (auto const& [id, part] : this->parts)
+        if (!made.contains(id) && !is_whole)
+            change.removed.push_back(id);
+    this->parts = std::move(made);
+}
+
+// The operator's versions only grow; an older one would be a step back.
+void published_set::replace_routes(published_routes const& what,
+                                   generation upto)
+{
+    if (what.version <= this->routes_version)
+        return;
+    this->routes_version = what.version;
+    this->routes = {upto, sorted(what.routes), what.idle_lifetime};
+}
+
+catalog_change published_set::change_to(publication const& what)
+{
+    catalog_change change{};
+    change.base = what.is_whole ? generation{} : this->revision;
+    change.to = what.upto;
+    this->revision = std::max(this->revision, what.upto);
+    this->replace_parts(change);
+    if (what.routes)
+        this->replace_routes(*what.routes, what.upto);
+    if (what.is_whole || this->routes.changed_at == what.upto)
+        change.routes = this->routes;
+    std::uint64_t sum = digest_of(fleet_part{}).value;
+    for (auto const& [id, part] : this->parts)
+        sum += digest_of(part).value;
+    sum += digest_of(this->routes).value;
+    change.whole = {sum};
+    return change;
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/catalog/published.hpp
@@ -0,0 +1,89 @@
+// What a store publishes key by key, put together into changes of the catalog.
+// A platform that keeps one key for each target and one for the routes is read
+// through this; its revisions are the catalog's generations.
+//
+// Index
+//   published_target   one target, as its key says
+//   publication        what one read of the store brought
+//   published_set      the aggregate
+#pragma once
+
+#include "catalog/catalog.hpp"
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lagoon {
+
+// ---- published_target ---------------------------------------------------
+
+struct published_target
+{
+    std::string service = {};
+    std::string data_centre = {};
+    peer_address address = {};  // where entries send packets
+    std::uint32_t slots = 1;    // requests it runs at once
+    std::uint64_t started = 0;  // tells one life of a target from the next
+    generation created = {};    // when the key came to be
+    target_state state = target_state::serving;
+    auto operator<=>(published_target const&) const = default;
+};
+
+// ---- publication --------------------------------------------------------
+
+// A key that changed; without a target it was removed, or names none to use.
+struct published_key
+{
+    std::string key = {};
+    std::optional<published_target> target = {};
+    auto operator<=>(published_key const&) const = default;
+};
+
+struct published_routes
+{
+    std::uint64_t version = 0;  // the operator's; only grows
+    std::vector<route_record> routes = {};
+    duration idle_lifetime = {};
+    auto operator<=>(published_routes const&) const = default;
+};
+
+struct publication
+{
+    generation upto = {};   // the store's revision
+    bool is_whole = false;  // all keys, in place of those that changed
+    std::vector<published_key> keys = {};
+    std::optional<published_routes> routes = {};
+    auto operator<=>(publication const&) const = default;
+};
+
+// ---- published_set ------------------------------------------------------
+
+class published_set
+{
+public:
+    // The change of the catalog that the publication makes. Empty when a
+    // change of keys comes before any whole read.
+    std::optional<catalog_change> take(publication const& what);
+
+    // The revision that is known; the next read of changes starts there.
+    generation known() const;
+
+    // Forgets everything, so that the next read must be a whole one.
+    void forget();
+
+private:
+    std::map<service_id, service_part> parts_at(generation upto) const;
+    catalog_change change_to(publication const& what);
+    void replace_parts(catalog_change& change);
+    void replace_routes(published_routes const& what, generation upto);
+
+    generation revision = {};
+    std::uint64_t routes_version = 0;
+    std::map<std::string, published_target> targets = {};
+    std::map<service_id, service_part> parts = {};
+    routes_part routes = {};
+};
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/connection/packet.hpp
@@ -0,0 +1,62 @@
+// Connections whose packets carry no token of ours: all there is to know one
+// by are its two ends. The packets are passed on as they came.
+//
+// Index
+//   connection_ends     names a connection
+//   connection_packet   one packet, as much of it as decisions need
+#pragma once
+
+#include "base/values.hpp"
+
+#include <string>
+
+namespace lagoon {
+
+// ---- connection_ends ----------------------------------------------------
+
+struct connection_ends
+{
+    peer_address caller = {};
+    peer_address service = {};  // what the caller connects to
+    auto operator<=>(connection_ends const&) const = default;
+};
+
+// What the ranking of targets and the choice of a weighted service go by.
+inline flow_key key_of(connection_ends const& ends)
+{
+    auto const packed = [](peer_address address) {
+        return (std::uint64_t{address.ip} << 16U) | address.port;
+    };
+    return {hash_pair(packed(ends.caller), packed(ends.service))};
+}
+
+namespace detail {
+
+struct ends_hash
+{
+    std::size_t operator()(connection_ends const& ends) const noexcept
+    {
+        return static_cast<std::size_t>(key_of(ends).value);
+    }
+};
+
+}  // namespace detail
+
+// ---- connection_packet --------------------------------------------------
+
+struct connection_packet
+{
+    connection_ends ends = {};
+    bool opens = false;     // asks for a connection
+    bool accepts = false;   // the target's answer to that
+    bool finishes = false;  // the sender will send no more data
+    bool resets = false;
+    std::uint8_t copy = 0;  // of an opening packet: 0 for the first
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    std::uint16_t size = 0;  // bytes of data
+    std::string bytes = {};  // the packet as it goes on
+    auto operator<=>(connection_packet const&) const = default;
+};
+
+}  // namespace lagoon
--- a/src/platform/checked_json.cpp
+++ b/src/documents/checked_json.cpp
@@ -1,4 +1,4 @@
-#include "platform/checked_json.hpp"
+#include "documents/checked_json.hpp"
 
 #include <arpa/inet.h>
 
@@ -152,6 +152,21 @@
     return false;
 }
 
+duration json_checker::span(json_place const& object, std::string const& key,
+                            duration unit)
+{
+    constexpr double longest = 1e15;  // microseconds, some thirty years
+    json_place const at = this->field(object, key);
+    if (at.value != nullptr && at.value->isNumeric()) {
+        double const count =
+            at.value->asDouble() * static_cast<double>(unit.count());
+        if (count > 0 && count < longest)
+            return duration{static_cast<std::int64_t>(count)};
+    }
+    this->problem(at, "a positive number");
+    return unit;
+}
+
 peer_address json_checker::address(json_place const& object,
                                    std::string const& key)
 {
--- a/src/platform/checked_json.hpp
+++ b/src/documents/checked_json.hpp
@@ -67,6 +67,10 @@
     std::uint64_t number(json_place const& object, std::string const& key,
                          number_range range = {});
     bool flag(json_place const& object, std::string const& key);
+
+    // A positive number, whole or not, of the given unit.
+    duration span(json_place const& object, std::string const& key,
+                  duration unit);
     peer_address address(json_place const& object, std::string const& key);
     digest hex(json_place const& object, std::string const& key);
     std::vector<json_place> list(json_place const& object,
--- a/src/platform/documents.cpp
+++ b/src/documents/documents.cpp
@@ -1,4 +1,4 @@
-#include "platform/documents.hpp"
+#include "documents/documents.hpp"
 
 #include <algorithm>
 
@@ -94,6 +94,40 @@
     return value;
 }
 
+Json::Value json_of(duration value)
+{
+    return Json::Value::Int64{value.count()};
+}
+
+Json::Value json_of(route_record const& route)
+{
+    Json::Value value{Json::objectValue};
+    value["address"] = to_text(route.address);
+    value["services"] = Json::Value{Json::arrayValue};
+    for (weighted_service const& share : route.services) {
+        Json::Value one{Json::objectValue};
+        one["service"] = hex_of(share.service.value);
+        one["weight"] = share.weight;
+        value["services"].append(one);
+    }
+    value["objective_us"] = json_of(route.objective);
+    value["deadline_us"] = json_of(route.deadline);
+    value["priority"] = route.priority;
+    value["idempotent"] = route.is_idempotent;
+    return value;
+}
+
+Json::Value json_of(routes_part const& part)
+{
+    Json::Value value{Json::objectValue};
+    value["changed_at"] = number_of(part.changed_at);
+    value["idle_lifetime_us"] = json_of(part.idle_lifetime);
+    value["routes"] = Json::Value{Json::arrayValue};
+    for (route_record const& route : part.routes)
+        value["routes"].append(json_of(route));
+    return value;
+}
+
 Json::Value json_of(part_change const& change)
 {
     Json::Value value{Json::objectValue};
@@ -188,6 +222,13 @@
     return {process_named(name), name, data_centre, exchange, control};
 }
 
+duration read_span(json_checker& checker, json_place const& object,
+                   std::string const& key)
+{
+    return duration{
+        static_cast<std::int64_t>(checker.number(object, key, {0, INT64_MAX}))};
+}
+
 caller_id read_caller(json_checker& checker, json_place const& item)
 {
     // The id of a caller is written as 16 hexadecimal digits.
@@ -223,6 +264,42 @@
     return {changed_at, entries};
 }
 
+weighted_service read_share(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"service", "weight"});
+    service_id const service{checker.hex(object, "service").value};
+    return {service, static_cast<std::uint32_t>(
+                         checker.number(object, "weight", {0, UINT32_MAX}))};
+}
+
+route_record read_route(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"address", "services", "objective_us", "deadline_us",
+                          "priority", "idempotent"});
+    peer_address const address = checker.address(object, "address");
+    std::vector<weighted_service> services;
+    for (json_place const& item : checker.list(object, "services"))
+        services.push_back(read_share(checker, item));
+    duration const objective = read_span(checker, object, "objective_us");
+    duration const deadline = read_span(checker, object, "deadline_us");
+    auto const priority = static_cast<std::uint8_t>(
+        checker.number(object, "priority", {0, UINT8_MAX}));
+    return {address,  services, objective,
+            deadline, priority, checker.flag(object, "idempotent")};
+}
+
+routes_part read_routes(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"changed_at", "idle_lifetime_us", "routes"});
+    generation const changed_at =
+        read_generation(checker, object, "changed_at", {0, INT64_MAX});
+    duration const idle = read_span(checker, object, "idle_lifetime_us");
+    std::vector<route_record> routes;
+    for (json_place const& item : checker.list(object, "routes"))
+        routes.push_back(read_route(checker, item));
+    return {changed_at, routes, idle};
+}
+
 platform_head read_head(json_checker& checker, json_place const& object)
 {
     checker.only(object, {"generation", "digest", "reaches_back", "recent"});
@@ -242,8 +319,8 @@
 
 catalog_change read_change(json_checker& checker, json_place const& object)
 {
-    checker.only(object,
-                 {"generation", "digest", "base", "parts", "removed", "fleet"});
+    checker.only(object, {"generation", "digest", "base", "parts", "removed",
+                          "fleet", "routes"});
     catalog_version const version = read_version(checker, object);
     generation const base =
         read_generation(checker, object, "base", {0, INT64_MAX});
@@ -256,7 +333,11 @@
     std::optional<fleet_part> fleet;
     if (checker.has(object, "fleet"))
         fleet = read_fleet(checker, checker.object(object, "fleet"));
-    return {base, version.number, version.content, parts, removed, fleet};
+    std::optional<routes_part> routes;
+    if (checker.has(object, "routes"))
+        routes = read_routes(checker, checker.object(object, "routes"));
+    return {base,    version.number, version.content, parts,
+            removed, fleet,          routes};
 }
 
 }  // namespace
@@ -300,6 +381,8 @@
         value["removed"].append(hex_of(id.value));
     if (change.fleet)
         value["fleet"] = json_of(*change.fleet);
+    if (change.routes)
+        value["routes"] = json_of(*change.routes);
     return render(value);
 }
 
--- a/src/platform/documents.hpp
+++ b/src/documents/documents.hpp
@@ -15,7 +15,7 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
-#include "platform/checked_json.hpp"
+#include "documents/checked_json.hpp"
 
 #include <optional>
 #include <string>
--- a/src/platform/files.cpp
+++ b/src/documents/files.cpp
@@ -1,4 +1,4 @@
-#include "platform/files.hpp"
+#include "documents/files.hpp"
 
 #include <fstream>
 #include <sstream>
--- a/src/platform/reader.cpp
+++ b/src/documents/reader.cpp
@@ -1,4 +1,4 @@
-#include "platform/reader.hpp"
+#include "documents/reader.hpp"
 
 namespace lagoon {
 
@@ -19,18 +19,21 @@
 
 }  // namespace
 
-platform_reader::platform_reader(peer_address platform) : platform(platform) {}
+documents_reader::documents_reader(peer_address platform) : platform(platform)
+{
+}
 
-reader_steps platform_reader::miss(reason why, std::string const& detail)
+reader_steps documents_reader::miss(reason why, std::string const& detail)
 {
     this->busy = false;
     return {change_missed{change_source::platform,
                           {step::read_platform, why, this->platform, detail}}};
 }
 
-reader_steps platform_reader::begin(read_platform const& what)
+reader_steps documents_reader::begin(read_platform const& what)
 {
     this->busy = true;
+    this->timeout = what.timeout;
     this->since = what.since;
     this->missing.clear();
     this->queued.clear();
@@ -44,24 +47,24 @@
                   std::to_string(what.lifetime / std::chrono::milliseconds{1})
             : std::string{head_path};
     this->missing.insert(path);
-    return {ask_key{path, what.lifetime + read_timeout}};
+    return {ask_key{path, what.lifetime + what.timeout}};
 }
 
-reader_steps platform_reader::answer(std::string const& path,
-                                     std::optional<std::string> const& text)
+reader_steps documents_reader::answer(std::string const& path,
+                                      key_answer const& what)
 {
     if (!this->busy || this->missing.erase(path) == 0)
         return {};
-    if (!text)
+    if (what.status != status_good)
         return this->miss(reason::unreachable, "no answer for " + path);
     if (path.starts_with(head_path) || path.starts_with(watch_path))
-        return this->take_head(*text);
+        return this->take_head(what.text);
     if (path == index_path)
-        return this->take_index(*text);
-    return this->take_part(path, *text);
+        return this->take_index(what.text);
+    return this->take_part(path, what.text);
 }
 
-reader_steps platform_reader::take_head(std::string const& text)
+reader_steps documents_reader::take_head(std::string const& text)
 {
     json_checker checker{"head"};
     std::optional<platform_head> const head = parse_head(checker, text);
@@ -74,12 +77,12 @@
     }
     if (this->since == generation{} || this->since < head->reaches_back) {
         this->missing.insert(std::string{index_path});
-        return {ask_key{std::string{index_path}, read_timeout}};
+        return {ask_key{std::string{index_path}, this->timeout}};
     }
     return this->ask_parts(head->recent);
 }
 
-reader_steps platform_reader::take_index(std::string const& text)
+reader_steps documents_reader::take_index(std::string const& text)
 {
     json_checker checker{"index"};
     std::optional<platform_index> const index = parse_index(checker, text);
@@ -89,7 +92,8 @@
     return this->ask_parts(index->parts);
 }
 
-reader_steps platform_reader::ask_parts(std::vector<part_change> const& changes)
+reader_steps
+documents_reader::ask_parts(std::vector<part_change> const& changes)
 {
     std::map<std::string, part_change> latest;
     for (part_change const& change : changes) {
@@ -108,20 +112,20 @@
     return this->ask_more();
 }
 
-reader_steps platform_reader::ask_more()
+reader_steps documents_reader::ask_more()
 {
     reader_steps steps;
     while (!this->queued.empty() && this->missing.size() < keys_at_once) {
         std::string const path = this->queued.front();
         this->queued.pop_front();
         this->missing.insert(path);
-        steps.push_back(ask_key{path, read_timeout});
+        steps.push_back(ask_key{path, this->timeout});
     }
     return this->missing.empty() ? this->finish_if_whole() : steps;
 }
 
-reader_steps platform_reader::take_part(std::string const& path,
-                                        std::string const& text)
+reader_steps documents_reader::take_part(std::string const& path,
+                                         std::string const& text)
 {
     json_checker checker{path};
     if (path == fleet_path)
@@ -134,7 +138,7 @@
     return this->ask_more();
 }
 
-reader_steps platform_reader::finish_if_whole()
+reader_steps documents_reader::finish_if_whole()
 {
     this->busy = false;
     return {change_arrived{change_source::platform,
--- /dev/null
+++ b/src/entry/connection_entry.hpp
@@ -0,0 +1,216 @@
+// What an entry decides about connections without tokens: which target a
+// packet goes to. The addresses that callers connect to, and the targets
+// behind them, come from the catalog; who owns a connection is learnt from
+// the targets' answers and may be forgotten at any time.
+//
+// Index
+//   events             what reaches the role
+//   effects            what the surroundings must do
+//   connection_entry   the role: `on(event, now)`
+#pragma once
+
+#include "flow/ranking.hpp"
+#include "membership/adoption.hpp"
+#include "placement/directory.hpp"
+#include "placement/owners.hpp"
+#include "placement/placer.hpp"
+
+#include <deque>
+#include <optional>
+#include <variant>
+#include <vector>
+
+namespace lagoon {
+
+// ---- events -------------------------------------------------------------
+
+struct packet_from_caller
+{
+    connection_packet packet = {};
+    auto operator<=>(packet_from_caller const&) const = default;
+};
+
+struct answer_from_target
+{
+    peer_address from = {};
+    offer_answer answer = {};
+    std::optional<connection_packet> returned = {};  // what came back with it
+    auto operator<=>(answer_from_target const&) const = default;
+};
+
+using connection_entry_event =
+    std::variant<packet_from_caller, answer_from_target, digest_packet,
+                 change_arrived, change_missed, clock_tick, stop_asked>;
+
+// ---- effects ------------------------------------------------------------
+
+struct send_offer
+{
+    peer_address to = {};
+    packet_offer offer = {};
+    auto operator<=>(send_offer const&) const = default;
+};
+
+// Tells the caller that the connection never opened, or is gone.
+struct reset_caller
+{
+    connection_packet packet = {};  // the packet that it answers
+    auto operator<=>(reset_caller const&) const = default;
+};
+
+enum class placement_result : std::uint8_t
+{
+    placed,       // a target took the connection
+    refused,      // reset: no target can serve it in time, and it has not run
+    no_route,     // reset: the configuration has no such address
+    held,         // no target is known or answers: tried again shortly
+    dropped,      // held as long as makes sense; the caller repeats itself
+    owner_found,  // a packet of an open connection, after a search
+    owner_lost,   // dropped: no target knows the connection
+    returned      // the target believed to own it does not
+};
+
+// A decision about one connection, for the log.
+struct placement_note
+{
+    placement_result result = placement_result::placed;
+    connection_ends ends = {};
+    peer_address target = {};
+    std::uint32_t load = 0;    // as the target told
+    std::uint32_t asked = 0;   // targets
+    std::uint32_t silent = 0;  // of those
+    duration took = {};        // since the packet came in
+    generation known = {};     // configuration that decided
+    duration platform_age = {};
+    auto operator<=>(placement_note const&) const = default;
+};
+
+enum class belief : std::uint8_t
+{
+    platform_lost,
+    platform_regained,
+    paused,         // the process stood still
+    target_lapsed,  // let go: its key is gone, and it didn't say it leaves
+    table_full      // owners are no longer remembered
+};
+
+// The process believes something else than before, for the log.
+struct belief_note
+{
+    belief what = belief::platform_lost;
+    std::string subject = {};  // a name, where there is one
+    duration platform_age = {};
+    auto operator<=>(belief_note const&) const = default;
+};
+
+using connection_entry_effect =
+    std::variant<send_offer, reset_caller, send_digest, fetch_from_peer,
+                 read_platform, generation_adopted, note_failure,
+                 placement_note, belief_note>;
+using connection_entry_effects = std::vector<connection_entry_effect>;
+
+// ---- connection_entry ---------------------------------------------------
+
+struct connection_entry_settings
+{
+    membership_settings member = {};
+    placer_limits placing = {};
+    owner_limits owners = {};
+
+    // An opening packet for which no target answers is tried again at this
+    // interval, and dropped once the caller is about to repeat it.
+    duration retry_interval = std::chrono::milliseconds{30};
+    duration longest_hold = std::chrono::milliseconds{190};
+    std::size_t most_held = 4096;  // packets
+
+    auto operator<=>(connection_entry_settings const&) const = default;
+};
+
+template <random_source R, placement_policy P = free_first>
+class connection_entry
+{
+public:
+    connection_entry(connection_entry_settings settings, R random,
+                     time_point now);
+
+    connection_entry_effects on(connection_entry_event const& event,
+                                time_point now);
+
+    // Whether packets should be sent here at all.
+    bool is_ready(time_point now) const;
+
+    // When a tick is due; earlier ones do no harm.
+    std::optional<time_point> next_due() const;
+
+    catalog const& configuration() const;
+    duration platform_age(time_point now) const;
+    std::size_t connections() const;
+
+private:
+    struct held_packet
+    {
+        connection_packet packet = {};
+        time_point arrived = {};
+        time_point due = {};
+        auto operator<=>(held_packet const&) const = default;
+    };
+
+    using effects_type = connection_entry_effects;
+
+    void on_event(effects_type& effects, packet_from_caller const& event,
+                  time_point now);
+    void on_event(effects_type& effects, answer_from_target const& event,
+                  time_point now);
+    void on_event(effects_type& effects, digest_packet const& event,
+                  time_point now);
+    void on_event(effects_type& effects, change_arrived const& event,
+                  time_point now);
+    void on_event(effects_type& effects, change_missed const& event,
+                  time_point now);
+    void on_event(effects_type& effects, clock_tick const& event,
+                  time_point now);
+    void on_event(effects_type& effects, stop_asked const& event,
+                  time_point now);
+
+    void place(effects_type& effects, connection_packet const& packet,
+               time_point arrived, std::optional<peer_address> last,
+               time_point now);
+    void search(effects_type& effects, connection_packet const& packet,
+                std::optional<peer_address> first,
+                std::optional<peer_address> last, time_point now);
+    void begin(effects_type& effects, placing_wish const& wish, time_point now);
+    void hold(effects_type& effects, connection_packet const& packet,
+              time_point arrived, time_point now);
+    void refuse_route(effects_type& effects, connection_packet const& packet,
+                      time_point now);
+    void take(effects_type& effects, placing_outcomes const& outcomes,
+              time_point now);
+    void take(effects_type& effects, ask_target const& what, time_point now);
+    void take(effects_type& effects, owner_found const& what, time_point now);
+    void take(effects_type& effects, placing_failed const& what,
+              time_point now);
+    void held_are_due(time_point now);
+    void release_held(effects_type& effects, time_point now);
+    void watch_platform(effects_type& effects, time_point now);
+    void pass_on(effects_type& effects, owner_record const& owner,
+                 connection_packet const& packet, time_point now);
+    placement_note note(placement_result result, connection_ends const& ends,
+                        time_point arrived, time_point now) const;
+
+    connection_entry_settings settings;
+    catalog known = {};
+    membership<R> member;
+    target_directory directory = {};
+    target_hints hints = {};
+    owner_table owners;
+    placer<P> placing;
+    std::deque<held_packet> held = {};
+    bool reached_platform = false;
+    bool owners_full = false;
+    bool stopping = false;
+    time_point last_tick;
+};
+
+}  // namespace lagoon
+
+#include "entry/connection_entry.ipp"
--- /dev/null
+++ b/src/entry/connection_entry.ipp
@@ -0,0 +1,473 @@
+// Bodies of the templates that connection_entry.hpp declares.
+#pragma once
+
+namespace lagoon {
+
+namespace detail {
+
+// The service of a connection by the route's weights, alike at every entry.
+inline std::optional<service_id> service_for(route_record const& route,
+                                             connection_ends const& ends)
+{
+    std::uint64_t total = 0;
+    for (weighted_service const& one : route.services)
+        total += one.weight;
+    if (total == 0)
+        return std::nullopt;
+    // Another hash than the ranking's, so that the two don't go together.
+    std::uint64_t at = hash_pair(key_of(ends).value, total) % total;
+    for (weighted_service const& one : route.services) {
+        if (at < one.weight)
+            return one.service;
+        at -= one.weight;
+    }
+    return std::nullopt;
+}
+
+inline std::vector<placing_target>
+placing_targets(std::vector<target_record const*> const& ranked,
+                std::optional<peer_address> first,
+                std::optional<peer_address> last)
+{
+    std::vector<placing_target> targets;
+    targets.reserve(ranked.size());
+    for (target_record const* one : ranked)
+        targets.push_back({one->address, one->slots});
+    if (first)
+        std::stable_partition(targets.begin(), targets.end(),
+                              [&](placing_target const& one) {
+                                  return one.address == *first;
+                              });
+    if (last)
+        std::stable_partition(targets.begin(), targets.end(),
+                              [&](placing_target const& one) {
+                                  return one.address != *last;
+                              });
+    return targets;
+}
+
+}  // namespace detail
+
+template <random_source R, placement_policy P>
+connection_entry<R, P>::connection_entry(connection_entry_settings settings,
+                                         R random, time_point now)
+    : settings(settings), member(settings.member, std::move(random), now),
+      owners(settings.owners), placing(settings.placing), last_tick(now)
+{
+}
+
+template <random_source R, placement_policy P>
+connection_entry_effects
+connection_entry<R, P>::on(connection_entry_event const& event, time_point now)
+{
+    connection_entry_effects effects;
+    std::visit(
+        [this, &effects, now](auto const& one) {
+            this->on_event(effects, one, now);
+        },
+        event);
+    return effects;
+}
+
+template <random_source R, placement_policy P>
+bool connection_entry<R, P>::is_ready(time_point now) const
+{
+    return !this->stopping && this->member.is_ready(this->known, now);
+}
+
+template <random_source R, placement_policy P>
+std::optional<time_point> connection_entry<R, P>::next_due() const
+{
+    std::optional<time_point> due = this->placing.next_due();
+    if (!this->held.empty())
+        due = std::min(due.value_or(this->held.front().due),
+                       this->held.front().due);
+    return due;
+}
+
+template <random_source R, placement_policy P>
+catalog const& connection_entry<R, P>::configuration() const
+{
+    return this->known;
+}
+
+template <random_source R, placement_policy P>
+duration connection_entry<R, P>::platform_age(time_point now) const
+{
+    return this->member.platform_age(now);
+}
+
+template <random_source R, placement_policy P>
+std::size_t connection_entry<R, P>::connections() const
+{
+    return this->owners.size();
+}
+
+template <random_source R, placement_policy P>
+placement_note connection_entry<R, P>::note(placement_result result,
+                                            connection_ends const& ends,
+                                            time_point arrived,
+                                            time_point now) const
+{
+    return {.result = result,
+            .ends = ends,
+            .took = now - arrived,
+            .known = this->known.version().number,
+            .platform_age = this->member.platform_age(now)};
+}
+
+// ---- packets of callers -------------------------------------------------
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      packet_from_caller const& event,
+                                      time_point now)
+{
+    connection_packet const& packet = event.packet;
+    if (this->placing.is_placing(packet.ends)) {
+        // A copy of the opening packet learns what the first one learns.
+        if (!packet.opens)
+            this->placing.follow(packet.ends, packet.bytes);
+        return;
+    }
+    std::optional<owner_record> const owner = this->owners.find(packet.ends);
+    if (packet.opens)
+        this->place(effects, packet, now, std::nullopt, now);
+    else if (owner && owner->is_sure)
+        this->pass_on(effects, *owner, packet, now);
+    else
+        this->search(effects, packet,
+                     owner ? std::optional{owner->target} : std::nullopt,
+                     std::nullopt, now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::pass_on(effects_type& effects,
+                                     owner_record const& owner,
+                                     connection_packet const& packet,
+                                     time_point now)
+{
+    owner_record next = owner;
+    next.last_used = now;
+    next.is_finished = owner.is_finished || packet.finishes || packet.resets;
+    this->owners.note(packet.ends, next);
+    effects.push_back(send_offer{
+        owner.target, {{}, owner.service, 0, false, {}, packet.bytes}});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::refuse_route(effects_type& effects,
+                                          connection_packet const& packet,
+                                          time_point now)
+{
+    // A configuration that may be behind proves nothing: the route may be new.
+    bool const is_fresh = this->member.is_ready(this->known, now) &&
+                          this->member.platform_age(now) <
+                              this->settings.member.pace.reading.news_lifetime;
+    if (!is_fresh) {
+        if (packet.opens)
+            this->hold(effects, packet, now, now);
+        return;
+    }
+    effects.push_back(
+        this->note(placement_result::no_route, packet.ends, now, now));
+    if (!packet.resets)
+        effects.push_back(reset_caller{packet});
+}
+
+// A process that starts, or has been paused, places nothing before it has
+// compared what it knows.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::place(effects_type& effects,
+                                   connection_packet const& packet,
+                                   time_point arrived,
+                                   std::optional<peer_address> last,
+                                   time_point now)
+{
+    if (!this->member.is_ready(this->known, now)) {
+        this->hold(effects, packet, arrived, now);
+        return;
+    }
+    route_record const* route = this->known.find_route(packet.ends.service);
+    if (route == nullptr) {
+        this->refuse_route(effects, packet, now);
+        return;
+    }
+    std::optional<service_id> const service =
+        detail::service_for(*route, packet.ends);
+    service_part const* part =
+        service ? this->directory.find(*service) : nullptr;
+    std::optional<owner_record> const owner = this->owners.find(packet.ends);
+    if (part == nullptr) {
+        this->hold(effects, packet, arrived, now);
+        return;
+    }
+    std::vector<target_record const*> ranked =
+        rank_targets(*part, key_of(packet.ends));
+    bool const is_copy = owner && owner->target != last;
+    // A copy goes to whoever took the first, also when that one leaves.
+    if (is_copy)
+        ranked = rank_owners(*part, key_of(packet.ends));
+    std::vector<placing_target> targets = detail::placing_targets(
+        ranked, is_copy ? std::optional{owner->target} : std::nullopt, last);
+    this->begin(
+        effects,
+        {packet,
+         *service,
+         {route->address, route->objective, route->deadline, route->priority},
+         std::move(targets),
+         arrived},
+        now);
+}
+
+// Looks for the owner of an open connection among all targets of its service.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::search(effects_type& effects,
+                                    connection_packet const& packet,
+                                    std::optional<peer_address> first,
+                                    std::optional<peer_address> last,
+                                    time_point now)
+{
+    route_record const* route = this->known.find_route(packet.ends.service);
+    if (route == nullptr) {
+        this->refuse_route(effects, packet, now);
+        return;
+    }
+    std::optional<service_id> const service =
+        detail::service_for(*route, packet.ends);
+    service_part const* part =
+        service ? this->directory.find(*service) : nullptr;
+    if (part == nullptr) {
+        effects.push_back(
+            this->note(placement_result::owner_lost, packet.ends, now, now));
+        return;
+    }
+    this->begin(effects,
+                {packet,
+                 *service,
+                 {},
+                 detail::placing_targets(
+                     rank_owners(*part, key_of(packet.ends)), first, last),
+                 now},
+                now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::begin(effects_type& effects,
+                                   placing_wish const& wish, time_point now)
+{
+    this->take(effects, this->placing.begin(wish, this->hints, now), now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::hold(effects_type& effects,
+                                  connection_packet const& packet,
+                                  time_point arrived, time_point now)
+{
+    bool const is_over = now + this->settings.retry_interval - arrived >
+                             this->settings.longest_hold ||
+                         this->held.size() >= this->settings.most_held;
+    effects.push_back(
+        this->note(is_over ? placement_result::dropped : placement_result::held,
+                   packet.ends, arrived, now));
+    if (!is_over)
+        this->held.push_back(
+            {packet, arrived, now + this->settings.retry_interval});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::release_held(effects_type& effects, time_point now)
+{
+    // Those that are held again join the end and are due later.
+    while (!this->held.empty() && this->held.front().due <= now) {
+        held_packet const one = this->held.front();
+        this->held.pop_front();
+        if (!this->placing.is_placing(one.packet.ends))
+            this->place(effects, one.packet, one.arrived, std::nullopt, now);
+    }
+}
+
+// ---- outcomes of placing ------------------------------------------------
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::take(effects_type& effects,
+                                  placing_outcomes const& outcomes,
+                                  time_point now)
+{
+    for (placing_outcome const& outcome : outcomes)
+        std::visit(
+            [this, &effects, now](auto const& one) {
+                this->take(effects, one, now);
+            },
+            outcome);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::take(effects_type& effects, ask_target const& what,
+                                  time_point)
+{
+    effects.push_back(send_offer{what.target, what.offer});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::take(effects_type& effects,
+                                  owner_found const& what, time_point now)
+{
+    bool const opens = what.packet.opens;
+    // A target that stayed silent may have taken the opening packet as well.
+    bool const is_sure = !opens || what.silent == 0;
+    owner_record const owner{
+        what.target,  what.service,
+        is_sure,      what.packet.finishes || what.packet.resets,
+        what.arrived, now};
+    bool const has_room = this->owners.note(what.packet.ends, owner);
+    if (!has_room && !this->owners_full)
+        effects.push_back(belief_note{belief::table_full, {}, {}});
+    this->owners_full = !has_room;
+    placement_note note = this->note(opens ? placement_result::placed
+                                           : placement_result::owner_found,
+                                     what.packet.ends, what.arrived, now);
+    note.target = what.target;
+    note.load = what.load;
+    note.asked = what.asked;
+    note.silent = what.silent;
+    effects.push_back(note);
+    for (std::string const& bytes : what.followers)
+        effects.push_back(
+            send_offer{what.target, {{}, what.service, 0, false, {}, bytes}});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::take(effects_type& effects,
+                                  placing_failed const& what, time_point now)
+{
+    if (what.packet.opens && !what.refused) {
+        this->hold(effects, what.packet, what.arrived, now);
+        return;
+    }
+    placement_note note = this->note(
+        what.refused ? placement_result::refused : placement_result::owner_lost,
+        what.packet.ends, what.arrived, now);
+    note.asked = what.asked;
+    note.silent = what.silent;
+    effects.push_back(note);
+    if (what.refused)
+        effects.push_back(reset_caller{what.packet});
+}
+
+// ---- answers of targets -------------------------------------------------
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      answer_from_target const& event,
+                                      time_point now)
+{
+    this->take(effects, this->placing.answered(event.answer, this->hints, now),
+               now);
+    bool const comes_back =
+        event.answer.question == question_id{} && event.returned;
+    if (!comes_back)
+        return;
+    // The target can't use what it was sent for its own.
+    connection_packet const& packet = *event.returned;
+    std::optional<owner_record> const owner = this->owners.find(packet.ends);
+    time_point const arrived = owner ? owner->placed_at : now;
+    if (owner && owner->target == event.from)
+        this->owners.forget(packet.ends);
+    if (event.answer.verdict != offer_verdict::not_owner)
+        this->hints.avoid(event.from, detail::unusable_avoidance, now);
+    placement_note note =
+        this->note(placement_result::returned, packet.ends, arrived, now);
+    note.target = event.from;
+    effects.push_back(note);
+    if (this->placing.is_placing(packet.ends))
+        return;
+    if (packet.opens)
+        this->place(effects, packet, arrived, event.from, now);
+    else
+        this->search(effects, packet, std::nullopt, event.from, now);
+}
+
+// ---- configuration ------------------------------------------------------
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      digest_packet const& event,
+                                      time_point now)
+{
+    detail::append(
+        effects, this->member.heard(event.from, event.what, this->known, now));
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      change_arrived const& event,
+                                      time_point now)
+{
+    catalog_version const before = this->known.version();
+    take_change(effects, this->known, this->member, event, now);
+    if (this->known.version() != before) {
+        this->directory.update(this->known, now);
+        this->held_are_due(now);
+    }
+    this->watch_platform(effects, now);
+    this->release_held(effects, now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      change_missed const& event,
+                                      time_point now)
+{
+    this->member.unanswered(event.source, now);
+    effects.push_back(note_failure{event.why});
+    this->watch_platform(effects, now);
+}
+
+// News may be just what a held packet waits for.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::held_are_due(time_point now)
+{
+    for (held_packet& one : this->held)
+        one.due = now;
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::watch_platform(effects_type& effects,
+                                            time_point now)
+{
+    bool const reaches = this->member.reaches_platform();
+    if (reaches != this->reached_platform)
+        effects.push_back(belief_note{reaches ? belief::platform_regained
+                                              : belief::platform_lost,
+                                      {},
+                                      this->member.platform_age(now)});
+    this->reached_platform = reaches;
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects, clock_tick const&,
+                                      time_point now)
+{
+    if (now - this->last_tick > this->settings.member.pace.pause_gap)
+        effects.push_back(
+            belief_note{belief::paused, {}, now - this->last_tick});
+    this->last_tick = now;
+    detail::append(effects, this->member.tick(this->known, now));
+    duration const age = this->member.platform_age(now);
+    for (target_record const& gone : this->directory.tick(age, now))
+        effects.push_back(belief_note{belief::target_lapsed, gone.name, age});
+    this->take(effects, this->placing.tick(this->hints, now), now);
+    this->release_held(effects, now);
+    this->owners.sweep(now);
+    this->hints.sweep(now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type&, stop_asked const&,
+                                      time_point)
+{
+    this->stopping = true;
+}
+
+}  // namespace lagoon
--- a/src/flow/ranking.cpp
+++ b/src/flow/ranking.cpp
@@ -36,33 +36,45 @@
     return a.target->id < b.target->id;
 }
 
-std::vector<scored> score_all(service_part const& part, flow_key flow)
+std::vector<scored> score_all(service_part const& part, flow_key flow,
+                              bool with_leaving)
 {
     std::vector<scored> all;
     all.reserve(part.targets.size());
     for (target_record const& target : part.targets)
-        if (target.state != target_state::leaving)
+        if (with_leaving || target.state != target_state::leaving)
             all.push_back({score_of(target, flow), &target});
     std::sort(all.begin(), all.end(), better);
     return all;
 }
 
+std::vector<target_record const*> targets_of(std::vector<scored> const& all)
+{
+    std::vector<target_record const*> ranked;
+    ranked.reserve(all.size());
+    for (scored const& one : all)
+        ranked.push_back(one.target);
+    return ranked;
+}
+
 }  // namespace
 
 std::vector<target_record const*> rank_targets(service_part const& part,
                                                flow_key flow)
 {
-    std::vector<target_record const*> ranked;
-    ranked.reserve(part.targets.size());
-    for (scored const& one : score_all(part, flow))
-        ranked.push_back(one.target);
-    return ranked;
+    return targets_of(score_all(part, flow, false));
+}
+
+std::vector<target_record const*> rank_owners(service_part const& part,
+                                              flow_key flow)
+{
+    return targets_of(score_all(part, flow, true));
 }
 
 std::optional<target_record> ranked_target(service_part const& part,
                                            flow_key flow, std::size_t place)
 {
-    std::vector<scored> const all = score_all(part, flow);
+    std::vector<scored> const all = score_all(part, flow, false);
     if (all.empty())
         return std::nullopt;
     return *all[place % all.size()].target;
--- a/src/flow/ranking.hpp
+++ b/src/flow/ranking.hpp
@@ -22,6 +22,10 @@
 std::vector<target_record const*> rank_targets(service_part const& part,
                                                flow_key flow);
 
+// All of them, leaving ones included: where to look for the owner of a flow.
+std::vector<target_record const*> rank_owners(service_part const& part,
+                                              flow_key flow);
+
 // The one at `place` among those that take new flows, wrapping round.
 // Empty when the service has none.
 std::optional<target_record> ranked_target(service_part const& part,
--- a/src/flow/table.cpp
+++ b/src/flow/table.cpp
@@ -1,15 +1,11 @@
 #include "flow/table.hpp"
 
+#include "base/sweep.hpp"
+
 #include <algorithm>
 
 namespace lagoon {
 
-namespace {
-
-constexpr std::size_t sweep_buckets = 512;  // buckets looked at in one sweep
-
-}  // namespace
-
 flow_table::flow_table(flow_limits limits) : limits(limits) {}
 
 std::optional<flow_record> flow_table::open(flow_key key, service_id service,
@@ -83,18 +79,10 @@
 
 std::vector<flow_key> flow_table::sweep(time_point now)
 {
-    std::size_t const buckets = this->flows.bucket_count();
-    std::vector<flow_key> expired;
-    for (std::size_t i = 0; i < std::min(sweep_buckets, buckets); ++i) {
-        this->next_bucket = (this->next_bucket + 1) % buckets;
-        for (auto it = this->flows.begin(this->next_bucket);
-             it != this->flows.end(this->next_bucket); ++it)
-            if (this->is_expired(it->second, now))
-                expired.push_back(it->first);
-    }
-    for (flow_key const key : expired)
-        this->flows.erase(key);
-    return expired;
+    return sweep_part(this->flows, this->next_bucket,
+                      [this, now](flow_key, flow_record const& one) {
+                          return this->is_expired(one, now);
+                      });
 }
 
 std::size_t flow_table::size() const
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <concepts>
 #include <cstring>
+#include <deque>
 #include <libwebsockets.h>
 #include <map>
 #include <optional>
@@ -43,6 +44,15 @@
         } -> std::same_as<bool>;
 };
 
+// A program that says when its next tick is due is not left to the interval.
+template <class P>
+concept has_due_ticks = requires(P const& program)
+{
+    {
+        program.next_due()
+        } -> std::same_as<std::optional<time_point>>;
+};
+
 // What a program without some of these inherits: it takes no notice of them.
 struct quiet_program
 {
@@ -63,8 +73,10 @@
 
 struct loop_settings
 {
-    peer_address listen = {};  // TCP, for HTTP; port 0: does not listen
-    duration tick = std::chrono::milliseconds{20};
+    std::vector<peer_address> listen = {};          // TCP, for HTTP
+    duration tick = std::chrono::milliseconds{20};  // at the latest
+    std::size_t read_buffer = 64U << 10U;           // bytes read at once
+    std::uint32_t most_descriptors = 2048;
     auto operator<=>(loop_settings const&) const = default;
 };
 
@@ -78,7 +90,7 @@
     event_loop(event_loop const&) = delete;
     event_loop& operator=(event_loop const&) = delete;
 
-    // Whether the listening address could be bound.
+    // Whether every listening address could be bound.
     bool is_open() const;
 
     // Adopts a socket under a lane of its own; replacing one closes it.
@@ -137,6 +149,8 @@
                          void* in, size_t size);
     static void on_timer(lws_sorted_usec_list_t* list);
 
+    lws_vhost* make_vhost(peer_address listen);
+    void schedule_tick(time_point now);
     int receive_datagrams(lws* wsi, std::string_view first);
     int send_client_head(lws* wsi, client_exchange const& exchange, void* in,
                          size_t size);
@@ -152,11 +166,13 @@
 
     P& program;
     loop_settings settings;
-    std::string listen_ip;
     std::vector<lws_protocols> protocols;
+    std::deque<std::string> names = {};  // the library keeps pointers to them
     lws_context* context = nullptr;
-    lws_vhost* vhost = nullptr;
+    lws_vhost* vhost = nullptr;  // of sockets and calls; listens nowhere
+    bool is_listening = true;    // on every address
     tick_timer timer = {};
+    time_point tick_at = {};  // when the timer is due
     std::map<lane, adopted_socket> sockets = {};
     std::map<exchange_id, client_exchange> calls = {};
     std::map<exchange_id, server_exchange> requests = {};
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -7,11 +7,9 @@
 
 namespace detail {
 
-constexpr std::size_t service_buffer = 64U << 10U;  // bytes read at once
-constexpr std::size_t reply_chunk = 32U << 10U;     // bytes written at once
-constexpr std::size_t head_size = 1024;             // bytes of a reply's head
+constexpr std::size_t reply_chunk = 32U << 10U;  // bytes written at once
+constexpr std::size_t head_size = 1024;          // bytes of a reply's head
 constexpr int datagrams_per_wakeup = 64;
-constexpr unsigned most_descriptors = 2048;
 constexpr std::size_t largest_request = 4U << 20U;  // bytes of a body
 
 inline std::string ip_text(peer_address address)
@@ -60,8 +58,7 @@
 
 template <class P>
 event_loop<P>::event_loop(P& program, loop_settings settings)
-    : program(program), settings(settings),
-      listen_ip(detail::ip_text(settings.listen))
+    : program(program), settings(std::move(settings))
 {
     // Checked here: a program holds its loop, so it's incomplete before.
     static_assert(loop_program<P>);
@@ -75,19 +72,31 @@
     info.options =
         LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_DISABLE_IPV6;
     info.user = this;
-    info.pt_serv_buf_size = detail::service_buffer;
-    info.fd_limit_per_thread = detail::most_descriptors;
+    info.pt_serv_buf_size =
+        static_cast<unsigned int>(this->settings.read_buffer);
+    info.fd_limit_per_thread = this->settings.most_descriptors;
     this->context = lws_create_context(&info);
-    info.protocols = this->protocols.data();
-    info.port = this->settings.listen.port == 0 ? CONTEXT_PORT_NO_LISTEN_SERVER
-                                                : this->settings.listen.port;
-    info.iface =
-        this->settings.listen.port == 0 ? nullptr : this->listen_ip.c_str();
-    info.vhost_name = "lagoon";
-    this->vhost = lws_create_vhost(this->context, &info);
+    this->vhost = this->make_vhost({});
+    for (peer_address const& listen : this->settings.listen)
+        if (this->make_vhost(listen) == nullptr)
+            this->is_listening = false;
     this->timer.loop = this;
 }
 
+// Port 0 listens nowhere.
+template <class P> lws_vhost* event_loop<P>::make_vhost(peer_address listen)
+{
+    std::string const& ip = this->names.emplace_back(detail::ip_text(listen));
+    std::string const& name = this->names.emplace_back(to_text(listen));
+    lws_context_creation_info info{};
+    info.options = LWS_SERVER_OPTION_DISABLE_IPV6;
+    info.protocols = this->protocols.data();
+    info.port = listen.port == 0 ? CONTEXT_PORT_NO_LISTEN_SERVER : listen.port;
+    info.iface = listen.port == 0 ? nullptr : ip.c_str();
+    info.vhost_name = name.c_str();
+    return lws_create_vhost(this->context, &info);
+}
+
 template <class P> event_loop<P>::~event_loop()
 {
     this->closing = true;
@@ -98,7 +107,7 @@
 
 template <class P> bool event_loop<P>::is_open() const
 {
-    return this->vhost != nullptr;
+    return this->vhost != nullptr && this->is_listening;
 }
 
 template <class P> event_loop<P>& event_loop<P>::of(lws* wsi)
@@ -113,20 +122,36 @@
 
 template <class P> void event_loop<P>::run()
 {
-    lws_sul_schedule(this->context, 0, &this->timer.list, &on_timer,
-                     this->settings.tick.count());
-    while (!this->program.wants_to_stop())
+    while (!this->program.wants_to_stop()) {
+        this->schedule_tick(read_clock());
         if (lws_service(this->context, 0) < 0)
             return;
+    }
+}
+
+// Brings the timer forward when something is due before the interval ends. It
+// is never moved back: a timer that is due already has yet to be served.
+template <class P> void event_loop<P>::schedule_tick(time_point now)
+{
+    time_point at = now + this->settings.tick;
+    if constexpr (has_due_ticks<P>)
+        at = std::min(at, std::max(this->program.next_due().value_or(at), now));
+    bool const is_set = this->tick_at != time_point{};
+    if (is_set && at >= this->tick_at)
+        return;
+    this->tick_at = at;
+    lws_sul_schedule(this->context, 0, &this->timer.list, &on_timer,
+                     std::max<lws_usec_t>((at - now).count(), 1));
 }
 
 template <class P> void event_loop<P>::on_timer(lws_sorted_usec_list_t* list)
 {
     event_loop& loop = *reinterpret_cast<tick_timer*>(list)->loop;
+    loop.tick_at = time_point{};
     loop.expire_calls(read_clock());
     loop.program.on_tick();
-    lws_sul_schedule(loop.context, 0, &loop.timer.list, &on_timer,
-                     loop.settings.tick.count());
+    // At once: the library may sleep before it returns to run().
+    loop.schedule_tick(read_clock());
 }
 
 // ---- datagrams ----------------------------------------------------------
@@ -333,9 +358,9 @@
 
 template <class P> int event_loop<P>::read_client_body(lws* wsi)
 {
-    std::vector<char> buffer(detail::service_buffer + LWS_PRE);
+    std::vector<char> buffer(this->settings.read_buffer + LWS_PRE);
     char* at = buffer.data() + LWS_PRE;
-    int size = static_cast<int>(detail::service_buffer);
+    int size = static_cast<int>(this->settings.read_buffer);
     return lws_http_client_read(wsi, &at, &size) < 0 ? -1 : 0;
 }
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -12,6 +12,7 @@
 
 #include "base/random.hpp"
 #include "catalog/catalog.hpp"
+#include "membership/peers.hpp"
 #include "membership/readers.hpp"
 #include "protocol/messages.hpp"
 
@@ -24,6 +25,35 @@
 
 // ---- settings -----------------------------------------------------------
 
+// How often a process asks and how long it waits. The defaults are those of
+// the product's own platform, whose rate is for the whole fleet.
+struct membership_pace
+{
+    duration exchange_interval = std::chrono::seconds{1};  // between digests
+    std::size_t news_fan_out = 4;  // peers told at once of news
+    duration fetch_timeout = std::chrono::seconds{1};   // of a peer's answer
+    duration watch_lifetime = std::chrono::seconds{2};  // one watch
+    duration read_timeout = std::chrono::seconds{2};    // one read
+
+    // A gap between two ticks that shows that the process was paused.
+    duration pause_gap = std::chrono::seconds{2};
+
+    // A process that knows peers asks them first, and the platform later.
+    duration first_read_delay = std::chrono::seconds{1};
+
+    // How long a process that starts or was paused waits at most for news
+    // before it takes new flows with what it has.
+    duration news_wait = std::chrono::seconds{2};
+
+    reading_pace reading = {};
+
+    // Whether an answer of the platform is never older than the question. A
+    // process then needs no peer's word beside it.
+    bool platform_is_linearizable = false;
+
+    auto operator<=>(membership_pace const&) const = default;
+};
+
 struct membership_settings
 {
     process_id self = {};
@@ -31,25 +61,10 @@
     peer_address exchange = {};            // this process's own
     peer_address control = {};             // this process's own
     std::vector<peer_address> seeds = {};  // peers to ask before any catalog
+    membership_pace pace = {};
     auto operator<=>(membership_settings const&) const = default;
 };
 
-constexpr duration exchange_interval = std::chrono::seconds{1};
-constexpr std::size_t news_fan_out = 4;  // peers told at once of news
-constexpr duration fetch_timeout = std::chrono::seconds{1};
-constexpr duration watch_lifetime = std::chrono::seconds{2};  // one watch
-constexpr duration read_timeout = std::chrono::seconds{2};    // one read
-
-// A gap between two ticks that shows that the process was paused.
-constexpr duration pause_gap = std::chrono::seconds{2};
-
-// A process that knows peers asks them first, and the platform later.
-constexpr duration first_read_delay = std::chrono::seconds{1};
-
-// How long a process that starts or was paused waits at most for news before
-// it takes new flows with what it has.
-constexpr duration news_wait = std::chrono::seconds{2};
-
 constexpr duration no_platform_contact = std::chrono::hours{24};
 
 // ---- effects ------------------------------------------------------------
@@ -65,6 +80,7 @@
 {
     peer_address control = {};
     generation since = {};  // 0 fetches the whole catalog
+    duration timeout = {};
     auto operator<=>(fetch_from_peer const&) const = default;
 };
 
@@ -72,7 +88,8 @@
 {
     generation since = {};
     bool watch = false;      // wait for a later generation
-    duration lifetime = {};  // of the watch, or the timeout of the read
+    duration lifetime = {};  // how long a watch waits
+    duration timeout = {};   // of each call, beside the wait
     auto operator<=>(read_platform const&) const = default;
 };
 
@@ -109,6 +126,9 @@
     // A fetch or a read failed or timed out.
     void unanswered(change_source source, time_point now);
 
+    // Whether the platform answered this process's last read.
+    bool reaches_platform() const;
+
     membership_effects tick(catalog const& known, time_point now);
 
     // Model step `may_open`: whether new flows may be taken.
@@ -119,10 +139,14 @@
 
 private:
     peer_digest own_digest(catalog const& known, bool reply_wanted,
-                           time_point now) const;
-    std::optional<peer_address> pick_peer(catalog const& known);
+                           time_point now);
+    std::vector<peer_address> peers_known(catalog const& known) const;
+    std::vector<peer_address> pick_peers(catalog const& known,
+                                         std::size_t most);
+    std::vector<peer_address> some_peers();
     void greet(membership_effects& effects, catalog const& known,
                std::size_t peers, bool reply_wanted, time_point now);
+    std::size_t rank(catalog const& known) const;
     void read_if_due(membership_effects& effects, catalog const& known,
                      time_point now);
     reading_plan plan(catalog const& known);
@@ -131,6 +155,7 @@
 
     membership_settings settings;
     R random;
+    peer_table peers = {};
     time_point last_tick;
     time_point next_exchange;
     time_point platform_contact;  // estimated, own clock
@@ -143,7 +168,9 @@
     bool peer_compared = false;      // since then
     bool platform_compared = false;  // since then
     catalog_version highest_heard = {};
+    bool platform_answered = false;  // its last read
     std::optional<catalog_version> planned_for = {};
+    std::size_t planned_peers = 0;
     reading_plan present_plan = {};
 };
 
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -12,7 +12,7 @@
 {
     this->begin_wait(now);
     if (!this->settings.seeds.empty())
-        this->earliest_read = now + first_read_delay;
+        this->earliest_read = now + this->settings.pace.first_read_delay;
 }
 
 template <random_source R> void membership<R>::begin_wait(time_point now)
@@ -30,39 +30,57 @@
 
 template <random_source R>
 peer_digest membership<R>::own_digest(catalog const& known, bool reply_wanted,
-                                      time_point now) const
+                                      time_point now)
 {
-    return {this->settings.self, known.version(), this->platform_age(now),
-            this->settings.control, reply_wanted};
+    return {this->settings.self,    known.version(), this->platform_age(now),
+            this->settings.control, reply_wanted,    this->some_peers()};
 }
 
-// Entries know all peers from the catalog; before there is one, the seeds.
+template <random_source R> std::vector<peer_address> membership<R>::some_peers()
+{
+    std::vector<peer_address> all;
+    for (known_peer const& peer : this->peers.all())
+        all.push_back(peer.exchange);
+    std::shuffle(all.begin(), all.end(), this->random);
+    all.resize(std::min(all.size(), peers_in_digest));
+    return all;
+}
+
+// Those that the catalog lists, the seeds, and those heard of.
 template <random_source R>
-std::optional<peer_address> membership<R>::pick_peer(catalog const& known)
+std::vector<peer_address> membership<R>::peers_known(catalog const& known) const
 {
-    std::vector<entry_record> const& entries = known.fleet().entries;
-    std::size_t const choices = entries.size() + this->settings.seeds.size();
-    if (choices == 0)
-        return std::nullopt;
-    std::size_t const index = pick_below(this->random, choices);
-    peer_address const peer =
-        index < entries.size() ? entries[index].exchange
-                               : this->settings.seeds[index - entries.size()];
-    if (peer == this->settings.exchange)
-        return std::nullopt;
-    return peer;
+    std::vector<peer_address> all;
+    for (entry_record const& entry : known.fleet().entries)
+        all.push_back(entry.exchange);
+    for (peer_address const& seed : this->settings.seeds)
+        all.push_back(seed);
+    for (known_peer const& peer : this->peers.all())
+        all.push_back(peer.exchange);
+    std::sort(all.begin(), all.end());
+    all.erase(std::unique(all.begin(), all.end()), all.end());
+    std::erase(all, this->settings.exchange);
+    return all;
+}
+
+template <random_source R>
+std::vector<peer_address> membership<R>::pick_peers(catalog const& known,
+                                                    std::size_t most)
+{
+    std::vector<peer_address> all = this->peers_known(known);
+    for (std::size_t i = 0; i < std::min(most, all.size()); ++i)
+        std::swap(all[i], all[i + pick_below(this->random, all.size() - i)]);
+    all.resize(std::min(most, all.size()));
+    return all;
 }
 
 template <random_source R>
 void membership<R>::greet(membership_effects& effects, catalog const& known,
                           std::size_t peers, bool reply_wanted, time_point now)
 {
-    for (std::size_t i = 0; i < peers; ++i) {
-        std::optional<peer_address> const peer = this->pick_peer(known);
-        if (peer)
-            effects.push_back(
-                send_digest{*peer, this->own_digest(known, reply_wanted, now)});
-    }
+    for (peer_address const& peer : this->pick_peers(known, peers))
+        effects.push_back(
+            send_digest{peer, this->own_digest(known, reply_wanted, now)});
 }
 
 template <random_source R>
@@ -71,16 +89,23 @@
                                         catalog const& known, time_point now)
 {
     membership_effects effects;
+    if (what.sender != this->settings.self)
+        this->peers.heard(from, what.sender, now);
+    for (peer_address const& peer : what.peers)
+        if (peer != this->settings.exchange)
+            this->peers.named(peer, now);
     this->platform_contact =
         std::max(this->platform_contact, now - what.platform_age);
     this->highest_heard = std::max(this->highest_heard, what.version);
     if (what.version > known.version()) {
-        bool const free = !this->fetching_since ||
-                          now - *this->fetching_since > fetch_timeout;
+        bool const free =
+            !this->fetching_since ||
+            now - *this->fetching_since > this->settings.pace.fetch_timeout;
         if (free) {
             this->fetching_since = now;
             effects.push_back(
-                fetch_from_peer{what.control, known.version().number});
+                fetch_from_peer{what.control, known.version().number,
+                                this->settings.pace.fetch_timeout});
         }
     } else {
         this->peer_compared = true;
@@ -101,12 +126,19 @@
         this->reading_since.reset();
         this->platform_contact = now;
         this->platform_compared = true;
+        this->platform_answered = true;
     } else {
         this->fetching_since.reset();
         this->peer_compared = true;
     }
-    if (changed)
-        this->greet(effects, known, news_fan_out, false, now);
+    // A linearizable answer is news even where nothing changed: it tells how
+    // fresh the present configuration is.
+    bool const is_news =
+        changed || (source == change_source::platform &&
+                    this->settings.pace.platform_is_linearizable);
+    if (is_news)
+        this->greet(effects, known, this->settings.pace.news_fan_out, false,
+                    now);
     return effects;
 }
 
@@ -115,7 +147,8 @@
                                              time_point now)
 {
     this->fetching_since = now;
-    return {fetch_from_peer{control, generation{}}};
+    return {fetch_from_peer{control, generation{},
+                            this->settings.pace.fetch_timeout}};
 }
 
 template <random_source R>
@@ -126,19 +159,40 @@
         return;
     }
     this->reading_since.reset();
-    // It was asked; there is no more to wait for.
-    this->platform_compared = true;
-    this->earliest_read = now + reading_step;
+    this->platform_answered = false;
+    // It was asked; there is no more to wait for, unless only its answer
+    // would do.
+    if (!this->settings.pace.platform_is_linearizable)
+        this->platform_compared = true;
+    this->earliest_read = now + this->settings.pace.reading.step;
+}
+
+template <random_source R> bool membership<R>::reaches_platform() const
+{
+    return this->platform_answered;
+}
+
+// By the documents where they list the fleet, else among the peers heard of.
+template <random_source R>
+std::size_t membership<R>::rank(catalog const& known) const
+{
+    if (known.fleet().entries.empty() && this->peers.size() > 0)
+        return this->peers.rank_of(this->settings.self, 0);
+    return reader_rank(known.fleet(), this->settings.self,
+                       this->settings.data_centre);
 }
 
 // The rank is worked out once for each generation: the fleet is large.
 template <random_source R>
 reading_plan membership<R>::plan(catalog const& known)
 {
-    if (!this->planned_for || *this->planned_for != known.version()) {
+    bool const is_current = this->planned_for == known.version() &&
+                            this->planned_peers == this->peers.size();
+    if (!is_current) {
         this->planned_for = known.version();
-        this->present_plan = plan_for_rank(reader_rank(
-            known.fleet(), this->settings.self, this->settings.data_centre));
+        this->planned_peers = this->peers.size();
+        this->present_plan =
+            plan_for_rank(this->rank(known), this->settings.pace.reading);
     }
     return this->present_plan;
 }
@@ -149,14 +203,16 @@
 {
     if (this->reading_since) {
         duration const most =
-            this->watching ? watch_lifetime + read_timeout : read_timeout;
+            this->settings.pace.read_timeout +
+            (this->watching ? this->settings.pace.watch_lifetime : duration{});
         if (now - *this->reading_since < most)
             return;
         this->unanswered(change_source::platform, now);
     }
     reading_plan const plan = this->plan(known);
     bool const first = known.version() == catalog_version{};
-    bool const news_is_old = this->platform_age(now) > platform_news_lifetime;
+    bool const news_is_old =
+        this->platform_age(now) > this->settings.pace.reading.news_lifetime;
     bool const wanted = plan.watches || news_is_old;
     // The rank may have changed since the last read, and the interval with it.
     bool const too_soon =
@@ -168,16 +224,18 @@
     this->watching = plan.watches && !first && this->platform_compared;
     this->reading_since = now;
     this->last_read = now;
-    effects.push_back(
-        read_platform{known.version().number, this->watching,
-                      this->watching ? watch_lifetime : read_timeout});
+    effects.push_back(read_platform{
+        known.version().number, this->watching,
+        this->watching ? this->settings.pace.watch_lifetime : duration{},
+        this->settings.pace.read_timeout});
 }
 
 template <random_source R>
 membership_effects membership<R>::tick(catalog const& known, time_point now)
 {
     membership_effects effects;
-    if (now - this->last_tick > pause_gap) {
+    this->peers.sweep(now);
+    if (now - this->last_tick > this->settings.pace.pause_gap) {
         this->begin_wait(now);
         this->reading_since.reset();
         this->fetching_since.reset();
@@ -188,20 +246,24 @@
     this->last_tick = now;
     if (now >= this->next_exchange) {
         bool const waiting = !this->is_ready(known, now);
-        this->next_exchange =
-            now + (waiting ? exchange_interval / 10 : exchange_interval);
+        duration const interval = this->settings.pace.exchange_interval;
+        this->next_exchange = now + (waiting ? interval / 10 : interval);
         this->greet(effects, known, 1, true, now);
     }
     this->read_if_due(effects, known, now);
     return effects;
 }
 
-// A peer alone may be as far behind as this process, and the platform alone
-// may be stale: it takes both, or a peer with fresh news of the platform.
+// A peer alone may be as far behind as this process, and a platform that may
+// answer with old contents is no proof alone either: then it takes both, or a
+// peer with fresh news of the platform.
 template <random_source R>
 bool membership<R>::has_compared(time_point now) const
 {
-    bool const fresh_news = this->platform_age(now) < platform_news_lifetime;
+    bool const fresh_news =
+        this->platform_age(now) < this->settings.pace.reading.news_lifetime;
+    if (this->settings.pace.platform_is_linearizable)
+        return this->platform_compared || (this->peer_compared && fresh_news);
     return this->peer_compared && (this->platform_compared || fresh_news);
 }
 
@@ -210,10 +272,11 @@
 {
     if (known.version() == catalog_version{})
         return false;
-    bool const waited = now - this->waiting_since > news_wait;
+    membership_pace const& pace = this->settings.pace;
+    bool const waited = now - this->waiting_since > pace.news_wait;
     bool const caught_up = known.version() >= this->highest_heard;
     // The tick that notices a pause may come after the first packet.
-    bool const paused = now - this->last_tick > pause_gap;
+    bool const paused = now - this->last_tick > pace.pause_gap;
     if (paused)
         return false;
     return waited || (caught_up && this->has_compared(now));
--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -13,11 +13,11 @@
 
 }  // namespace
 
-reading_plan plan_for_rank(std::size_t rank)
+reading_plan plan_for_rank(std::size_t rank, reading_pace const& pace)
 {
-    if (rank < watchers_per_data_centre)
-        return {true, reading_step};
-    return {false, reading_step * static_cast<std::int64_t>(rank + 1)};
+    if (rank < pace.watchers)
+        return {true, pace.step};
+    return {false, pace.step * static_cast<std::int64_t>(rank + 1)};
 }
 
 std::size_t reader_rank(fleet_part const& fleet, process_id self,
--- a/src/membership/readers.hpp
+++ b/src/membership/readers.hpp
@@ -15,14 +15,19 @@
 
 // ---- reading_plan -------------------------------------------------------
 
-constexpr std::size_t watchers_per_data_centre = 3;
+struct reading_pace
+{
+    std::size_t watchers = 3;  // of a data centre, or of all known peers
+
+    // A process that doesn't watch reads once its news of the platform is
+    // older than this; of rank r it then reads at most every (r + 1) steps.
+    // With a step of a second the sum over a data centre of n processes stays
+    // below ln(n) + 1 reads a second, however long the watchers are gone.
+    duration news_lifetime = std::chrono::seconds{20};
+    duration step = std::chrono::seconds{1};
 
-// A process that doesn't watch reads once its news of the platform is older
-// than this; of rank r it then reads at most every (r + 1) seconds. The sum
-// over a data centre of n processes stays below ln(n) + 1 reads a second,
-// however long the watchers are gone.
-constexpr duration platform_news_lifetime = std::chrono::seconds{20};
-constexpr duration reading_step = std::chrono::seconds{1};
+    auto operator<=>(reading_pace const&) const = default;
+};
 
 struct reading_plan
 {
@@ -31,7 +36,7 @@
     auto operator<=>(reading_plan const&) const = default;
 };
 
-reading_plan plan_for_rank(std::size_t rank);
+reading_plan plan_for_rank(std::size_t rank, reading_pace const& pace);
 
 // ---- reader_rank --------------------------------------------------------
 
--- /dev/null
+++ b/src/placement/hints.cpp
@@ -0,0 +1,64 @@
+#include "placement/hints.hpp"
+
+#include <algorithm>
+
+namespace lagoon {
+
+namespace {
+
+constexpr duration hint_lifetime = std::chrono::seconds{60};  // of a record
+constexpr std::uint32_t most_doublings = 4;  // from least to most avoidance
+
+}  // namespace
+
+void target_hints::told(peer_address target, std::uint32_t load,
+                        std::uint32_t slots, time_point now)
+{
+    this->hints.insert_or_assign(target, target_hint{load, slots, now, 0, {}});
+}
+
+void target_hints::silent(peer_address target, time_point now)
+{
+    target_hint& hint = this->hints[target];
+    std::uint32_t const doublings = std::min(hint.silences, most_doublings);
+    hint.silences += 1;
+    hint.avoid_until =
+        now + std::min(least_avoidance * (1U << doublings), most_avoidance);
+}
+
+void target_hints::avoid(peer_address target, duration span, time_point now)
+{
+    target_hint& hint = this->hints[target];
+    hint.avoid_until = std::max(hint.avoid_until, now + span);
+}
+
+bool target_hints::is_avoided(peer_address target, time_point now) const
+{
+    auto const found = this->hints.find(target);
+    return found != this->hints.end() && now < found->second.avoid_until;
+}
+
+bool target_hints::seemed_busy(peer_address target, time_point now) const
+{
+    return this->relative_load(target, now) >= 1.0;
+}
+
+double target_hints::relative_load(peer_address target, time_point now) const
+{
+    auto const found = this->hints.find(target);
+    if (found == this->hints.end() || found->second.slots == 0 ||
+        now - found->second.told_at > load_lifetime)
+        return 0;
+    return static_cast<double>(found->second.load) / found->second.slots;
+}
+
+void target_hints::sweep(time_point now)
+{
+    std::erase_if(this->hints, [now](auto const& one) {
+        time_point const last =
+            std::max(one.second.told_at, one.second.avoid_until);
+        return now - last > hint_lifetime;
+    });
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/placement/owners.cpp
@@ -0,0 +1,61 @@
+#include "placement/owners.hpp"
+
+#include "base/sweep.hpp"
+
+namespace lagoon {
+
+owner_table::owner_table(owner_limits limits) : limits(limits) {}
+
+std::optional<owner_record> owner_table::find(connection_ends const& ends) const
+{
+    auto const found = this->owners.find(ends);
+    if (found == this->owners.end())
+        return std::nullopt;
+    return found->second;
+}
+
+bool owner_table::note(connection_ends const& ends, owner_record const& record)
+{
+    auto const found = this->owners.find(ends);
+    if (found != this->owners.end()) {
+        found->second = record;
+        return true;
+    }
+    if (this->owners.size() >= this->limits.most)
+        return false;
+    this->owners.emplace(ends, record);
+    return true;
+}
+
+void owner_table::forget(connection_ends const& ends)
+{
+    this->owners.erase(ends);
+}
+
+bool owner_table::is_over(owner_record const& record, time_point now) const
+{
+    duration const lifetime = record.is_finished
+                                  ? this->limits.finished_lifetime
+                                  : this->limits.idle_lifetime;
+    return now - record.last_used > lifetime;
+}
+
+void owner_table::sweep(time_point now)
+{
+    sweep_part(this->owners, this->next_bucket,
+               [this, now](connection_ends const&, owner_record const& one) {
+                   return this->is_over(one, now);
+               });
+}
+
+void owner_table::set_idle_lifetime(duration idle)
+{
+    this->limits.idle_lifetime = idle;
+}
+
+std::size_t owner_table::size() const
+{
+    return this->owners.size();
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/placement/placer.hpp
@@ -0,0 +1,187 @@
+// Finds a target for a packet whose owner an entry doesn't know: for an
+// opening packet one with a free slot, for any other the one that owns the
+// connection. The targets are asked one after the other. One that stays
+// silent is given up after some milliseconds, long before the caller repeats
+// its packet.
+//
+// Index
+//   placing_wish      a packet and who may take it
+//   placing_outcome   ask somebody, found, or given up
+//   placer            the aggregate, over a placement policy
+#pragma once
+
+#include "catalog/catalog.hpp"
+#include "placement/policies.hpp"
+#include "protocol/relay.hpp"
+
+#include <algorithm>
+#include <deque>
+#include <map>
+#include <optional>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace lagoon {
+
+// ---- placing_wish -------------------------------------------------------
+
+struct placing_target
+{
+    peer_address address = {};
+    std::uint32_t slots = 0;
+    auto operator<=>(placing_target const&) const = default;
+};
+
+struct placing_wish
+{
+    connection_packet packet = {};
+    service_id service = {};
+    request_terms terms = {};
+    std::vector<placing_target> ranked = {};  // best first
+    time_point arrived = {};
+    auto operator<=>(placing_wish const&) const = default;
+};
+
+// ---- placing_outcome ----------------------------------------------------
+
+struct ask_target
+{
+    peer_address target = {};
+    packet_offer offer = {};
+    auto operator<=>(ask_target const&) const = default;
+};
+
+struct owner_found
+{
+    connection_packet packet = {};
+    service_id service = {};
+    peer_address target = {};
+    offer_verdict verdict = offer_verdict::taken;
+    std::uint32_t load = 0;    // as the target told
+    std::uint32_t asked = 0;   // targets that were asked
+    std::uint32_t silent = 0;  // of those
+    time_point arrived = {};
+    std::vector<std::string> followers = {};  // later packets, in order
+    auto operator<=>(owner_found const&) const = default;
+};
+
+struct placing_failed
+{
+    connection_packet packet = {};
+    service_id service = {};
+    bool refused = false;  // a target said that it can't be served in time
+    std::uint32_t asked = 0;
+    std::uint32_t silent = 0;  // of those asked
+    time_point arrived = {};
+    auto operator<=>(placing_failed const&) const = default;
+};
+
+using placing_outcome = std::variant<ask_target, owner_found, placing_failed>;
+using placing_outcomes = std::vector<placing_outcome>;
+
+// ---- placer -------------------------------------------------------------
+
+struct placer_limits
+{
+    std::size_t most = 4096;         // packets being placed at once
+    std::size_t most_followers = 8;  // later packets kept for each
+
+    // Several times the round trip between two data centres, and well below
+    // the 200 ms after which callers repeat themselves.
+    duration silence = std::chrono::milliseconds{20};
+
+    auto operator<=>(placer_limits const&) const = default;
+};
+
+template <placement_policy P> class placer
+{
+public:
+    explicit placer(placer_limits limits, P policy = {});
+
+    // Begins to place a packet, or fails at once.
+    placing_outcomes begin(placing_wish const& wish, target_hints& hints,
+                           time_point now);
+
+    // Whether a packet of the connection is being placed. A later one waits
+    // for its outcome.
+    bool is_placing(connection_ends const& ends) const;
+    void follow(connection_ends const& ends, std::string const& bytes);
+
+    placing_outcomes answered(offer_answer const& answer, target_hints& hints,
+                              time_point now);
+
+    // Gives up on targets that stayed silent.
+    placing_outcomes tick(target_hints& hints, time_point now);
+
+    // When the next question runs out.
+    std::optional<time_point> next_due() const;
+
+    std::size_t size() const;
+
+private:
+    enum class choice_state : std::uint8_t
+    {
+        untried,
+        busy,  // said that every slot is taken
+        out    // asked in vain
+    };
+
+    struct choice
+    {
+        placing_target target = {};
+        choice_state state = choice_state::untried;
+        std::uint32_t load = 0;
+        auto operator<=>(choice const&) const = default;
+    };
+
+    struct placing_record
+    {
+        placing_wish wish = {};
+        std::vector<choice> choices = {};
+        std::size_t at = 0;  // the choice that was asked
+        bool may_wait = false;
+        question_id question = {};
+        std::uint32_t asked = 0;
+        std::uint32_t busy = 0;
+        std::uint32_t silent = 0;
+        std::vector<std::string> followers = {};
+        auto operator<=>(placing_record const&) const = default;
+    };
+
+    struct due_question
+    {
+        time_point at = {};
+        question_id question = {};
+        connection_ends ends = {};
+        auto operator<=>(due_question const&) const = default;
+    };
+
+    placing_outcome take_answer(placing_record& record,
+                                offer_answer const& answer, target_hints& hints,
+                                time_point now);
+    placing_outcome go_on(placing_record& record, time_point now);
+    std::optional<std::size_t> next_choice(placing_record const& record) const;
+    std::optional<std::size_t> least_loaded(placing_record const& record) const;
+    placing_outcome ask(placing_record& record, std::size_t index,
+                        bool may_wait, time_point now);
+    placing_outcome fail(placing_record const& record, bool refused);
+    placing_outcome settle(placing_record const& record,
+                           offer_answer const& answer);
+    void note(offer_answer const& answer, peer_address target,
+              target_hints& hints, time_point now) const;
+    bool is_current(due_question const& one) const;
+    void prune();
+
+    placer_limits limits;
+    P policy;
+    std::uint32_t last_question = 0;
+    std::unordered_map<connection_ends, placing_record, detail::ends_hash>
+        records = {};
+    std::unordered_map<std::uint32_t, connection_ends> questions = {};
+    std::deque<due_question> due = {};
+};
+
+}  // namespace lagoon
+
+#include "placement/placer.ipp"
--- /dev/null
+++ b/src/placement/policies.hpp
@@ -0,0 +1,118 @@
+// In which order the targets of a connection are asked for a free slot. Each
+// order is a type that satisfies `placement_policy`; docs/POLICY.md compares
+// them.
+//
+// Index
+//   placement_policy   the concept
+//   ranking_alone      baseline: the first of the ranking takes it
+//   probe_in_turn      the first few of the ranking, one after the other
+//   lesser_of_two      baseline: of the first two the one that said it has
+//                      less
+//   free_first         the first few, those that lately seemed free first
+#pragma once
+
+#include "placement/hints.hpp"
+
+#include <algorithm>
+#include <concepts>
+#include <cstddef>
+#include <vector>
+
+namespace lagoon {
+
+// ---- placement_policy ---------------------------------------------------
+
+using ranked_addresses = std::vector<peer_address>;  // best first
+
+template <class P>
+concept placement_policy = requires(P const& policy,
+                                    ranked_addresses const& ranked,
+                                    target_hints const& hints, time_point now)
+{
+    // How many targets say that they are busy before one of them must let
+    // the connection wait. 0: the first one asked must.
+    {
+        P::probes
+        } -> std::convertible_to<std::size_t>;
+    // The same targets in the order in which they are asked.
+    {
+        policy.order(ranked, hints, now)
+        } -> std::same_as<ranked_addresses>;
+};
+
+// ---- ranking_alone ------------------------------------------------------
+
+struct ranking_alone
+{
+    static constexpr std::size_t probes = 0;
+
+    ranked_addresses order(ranked_addresses const& ranked, target_hints const&,
+                           time_point) const
+    {
+        return ranked;
+    }
+};
+
+// ---- probe_in_turn ------------------------------------------------------
+
+// Load pattern: requests of one kind at 40 to 80% of the slots. With few slots
+// a target, hashing alone leaves some queueing while others idle; asking
+// finds a free slot at the price of a round trip each.
+struct probe_in_turn
+{
+    static constexpr std::size_t probes = 4;
+
+    ranked_addresses order(ranked_addresses const& ranked, target_hints const&,
+                           time_point) const
+    {
+        return ranked;
+    }
+};
+
+// ---- lesser_of_two ------------------------------------------------------
+
+struct lesser_of_two
+{
+    static constexpr std::size_t probes = 0;
+
+    ranked_addresses order(ranked_addresses const& ranked,
+                           target_hints const& hints, time_point now) const
+    {
+        ranked_addresses ordered = ranked;
+        bool const swaps =
+            ordered.size() > 1 && hints.relative_load(ordered[1], now) <
+                                      hints.relative_load(ordered[0], now);
+        if (swaps)
+            std::swap(ordered[0], ordered[1]);
+        return ordered;
+    }
+};
+
+// ---- free_first ---------------------------------------------------------
+
+// Load pattern: the same near full load, where most of the first few are
+// busy. Answers of a moment ago save the round trips to those.
+struct free_first
+{
+    static constexpr std::size_t probes = 4;
+
+    ranked_addresses order(ranked_addresses const& ranked,
+                           target_hints const& hints, time_point now) const
+    {
+        ranked_addresses ordered = ranked;
+        auto const few =
+            static_cast<std::ptrdiff_t>(std::min(ordered.size(), probes));
+        std::stable_partition(ordered.begin(), ordered.begin() + few,
+                              [&](peer_address const& one) {
+                                  return !hints.seemed_busy(one, now);
+                              });
+        return ordered;
+    }
+};
+
+static_assert(placement_policy<ranking_alone>);
+static_assert(placement_policy<probe_in_turn>);
+static_assert(placement_policy<lesser_of_two>);
+static_assert(placement_policy<free_first>);
+
+}  // namespace lagoon
--- a/src/programs/call_main.cpp
+++ b/src/programs/call_main.cpp
@@ -1,7 +1,7 @@
 // lagoon-call: one request, or a load of them, over the caller library.
 
+#include "documents/checked_json.hpp"
 #include "loop/signals.hpp"
-#include "platform/checked_json.hpp"
 #include "programs/call_program.hpp"
 #include "programs/command_line.hpp"
 
--- a/src/programs/command_line.cpp
+++ b/src/programs/command_line.cpp
@@ -15,9 +15,10 @@
 }
 
 std::optional<process_start> read_command_line(int count, char** arguments,
-                                               std::string const& program,
+                                               program_about const& about,
                                                int& exit_code)
 {
+    std::string const& program = about.name;
     po::options_description options{"Usage: " + program +
                                     " --settings FILE\n\nOptions"};
     options.add_options()("help", "print this text")(
@@ -40,11 +41,13 @@
             std::cout << program << ' ' << program_version << '\n';
         return std::nullopt;
     }
-    if (given.count("settings") == 0) {
+    std::string const path = given.count("settings") != 0
+                                 ? given["settings"].as<std::string>()
+                                 : about.usual_settings;
+    if (path.empty()) {
         std::cerr << program << ": --settings FILE is missing\n";
         return std::nullopt;
     }
-    std::string const path = given["settings"].as<std::string>();
     std::optional<std::string> const text = read_file(path);
     if (!text) {
         std::cerr << program << ": " << path << ": can't be read\n";
--- a/src/programs/command_line.hpp
+++ b/src/programs/command_line.hpp
@@ -2,12 +2,13 @@
 //
 // Index
 //   exit codes      documented in docs/OPERATORS.md
+//   program_about   the program's name and where its settings are
 //   process_start   what the command line asks for
 //   read_command_line
 #pragma once
 
-#include "platform/checked_json.hpp"
-#include "platform/files.hpp"
+#include "documents/checked_json.hpp"
+#include "documents/files.hpp"
 
 #include <optional>
 #include <string>
@@ -24,6 +25,15 @@
 
 constexpr char const* program_version = "0.1.0";
 
+// ---- program_about ------------------------------------------------------
+
+struct program_about
+{
+    std::string name = {};
+    std::string usual_settings = {};  // a file; empty: must be given
+    auto operator<=>(program_about const&) const = default;
+};
+
 // ---- process_start ------------------------------------------------------
 
 struct process_start
@@ -39,7 +49,7 @@
 // Prints help, the version or what is wrong; then `exit_code` is set and
 // nothing is returned.
 std::optional<process_start> read_command_line(int count, char** arguments,
-                                               std::string const& program,
+                                               program_about const& about,
                                                int& exit_code);
 
 // One line each on standard error.
--- /dev/null
+++ b/src/programs/connection_log.cpp
@@ -0,0 +1,178 @@
+#include "programs/connection_log.hpp"
+
+namespace lagoon {
+
+char const* to_text(placement_result value)
+{
+    switch (value) {
+    case placement_result::placed:
+        return "placed";
+    case placement_result::refused:
+        return "refused";
+    case placement_result::no_route:
+        return "no_route";
+    case placement_result::held:
+        return "held";
+    case placement_result::dropped:
+        return "dropped";
+    case placement_result::owner_found:
+        return "owner_found";
+    case placement_result::owner_lost:
+        return "owner_lost";
+    case placement_result::returned:
+        return "returned_by_target";
+    }
+    return "?";
+}
+
+char const* to_text(tracking_result value)
+{
+    switch (value) {
+    case tracking_result::admitted:
+        return "admitted";
+    case tracking_result::queued:
+        return "queued";
+    case tracking_result::started:
+        return "started";
+    case tracking_result::refused:
+        return "refused";
+    case tracking_result::request:
+        return "request";
+    case tracking_result::answered:
+        return "answered";
+    case tracking_result::unanswered:
+        return "unanswered";
+    case tracking_result::returned:
+        return "returned_by_back_end";
+    case tracking_result::gone:
+        return "gone";
+    case tracking_result::adopted:
+        return "adopted";
+    case tracking_result::table_full:
+        return "table_full";
+    }
+    return "?";
+}
+
+char const* to_text(belief value)
+{
+    switch (value) {
+    case belief::platform_lost:
+        return "platform_lost";
+    case belief::platform_regained:
+        return "platform_regained";
+    case belief::paused:
+        return "paused";
+    case belief::target_lapsed:
+        return "target_lapsed";
+    case belief::table_full:
+        return "table_full";
+    }
+    return "?";
+}
+
+namespace {
+
+std::string connection_text(connection_ends const& ends)
+{
+    return to_text(ends.caller) + "-" + to_text(ends.service);
+}
+
+template <class Result, std::size_t Size>
+std::vector<named_count> named(std::array<std::uint64_t, Size> const& counts)
+{
+    std::vector<named_count> all;
+    for (std::size_t i = 0; i < Size; ++i)
+        all.push_back({to_text(static_cast<Result>(i)), counts[i]});
+    return all;
+}
+
+}  // namespace
+
+// ---- connection_metrics -------------------------------------------------
+
+void connection_metrics::count(placement_note const& note)
+{
+    ++this->placements[static_cast<std::size_t>(note.result)];
+    if (note.result == placement_result::placed)
+        this->placed.add(note.took);
+}
+
+void connection_metrics::count(tracking_note const& note)
+{
+    ++this->trackings[static_cast<std::size_t>(note.result)];
+    if (note.result == tracking_result::started)
+        this->waited.add(note.took);
+    if (note.result == tracking_result::answered)
+        this->running.add(note.took);
+}
+
+void connection_metrics::count(note_failure const&)
+{
+    ++this->failures;
+}
+
+exposition connection_metrics::text() const
+{
+    exposition all;
+    all.counters("lagoon_placements_total", "result",
+                 named<placement_result>(this->placements))
+        .counters("lagoon_connections_total", "result",
+                  named<tracking_result>(this->trackings))
+        .counters("lagoon_failures_total", "kind", {{"all", this->failures}})
+        .histogram("lagoon_placing_seconds", this->placed)
+        .histogram("lagoon_waiting_seconds", this->waited)
+        .histogram("lagoon_running_seconds", this->running);
+    return all;
+}
+
+// ---- write_note ---------------------------------------------------------
+
+void write_note(part_log const& log, placement_note const& note)
+{
+    log_line line{to_text(note.result)};
+    line.with("connection", connection_text(note.ends))
+        .with("took_ms", note.took)
+        .with("generation", note.known.value)
+        .with("platform_age_ms", note.platform_age);
+    if (note.target != peer_address{})
+        line.with("target", note.target).with("load", note.load);
+    if (note.asked > 0)
+        line.with("asked", note.asked).with("silent", note.silent);
+    log.write(line);
+}
+
+void write_note(part_log const& log, tracking_note const& note,
+                std::string_view request_id)
+{
+    log_line line{to_text(note.result)};
+    line.with("connection", connection_text(note.ends))
+        .with("load", note.load)
+        .with("slots", note.slots)
+        .with("took_ms", note.took);
+    if (note.entry != peer_address{})
+        line.with("entry", note.entry);
+    if (!request_id.empty())
+        line.with("request", request_id);
+    log.write(line);
+}
+
+void write_note(part_log const& log, belief_note const& note)
+{
+    log_line line{to_text(note.what)};
+    if (!note.subject.empty())
+        line.with("subject", note.subject);
+    line.with("age_ms", note.platform_age);
+    log.write(line);
+}
+
+void write_note(part_log const& log, note_failure const& note)
+{
+    log.write(log_line{"failure"}
+                  .with("step", to_text(note.what.at))
+                  .with("reason", to_text(note.what.why))
+                  .with("peer", note.what.peer)
+                  .with("detail", note.what.detail));
+}
+
+}  // namespace lagoon
--- a/src/programs/control_link.hpp
+++ b/src/programs/control_link.hpp
@@ -7,9 +7,9 @@
 #pragma once
 
 #include "control/rpc.hpp"
+#include "documents/reader.hpp"
 #include "loop/http.hpp"
 #include "membership/adoption.hpp"
-#include "platform/reader.hpp"
 
 #include <map>
 #include <optional>
@@ -21,16 +21,17 @@
 
 // ---- control_event ------------------------------------------------------
 
-using control_event = std::variant<change_arrived, change_missed>;
+using control_event = std::variant<change_arrived, change_missed, note_failure>;
 using control_events = std::vector<control_event>;
 
 // ---- control_link -------------------------------------------------------
 
-template <class Loop> class control_link
+template <class Loop, platform_reader Reader = documents_reader>
+class control_link
 {
 public:
-    control_link(Loop& loop, peer_address platform)
-        : loop(loop), platform(platform), reader(platform)
+    control_link(Loop& loop, peer_address platform, Reader reader)
+        : loop(loop), platform(platform), reader(std::move(reader))
     {
     }
 
@@ -43,7 +44,7 @@
     {
         exchange_id const id = this->loop.call(
             {what.control, "POST", "/rpc",
-             rpc_changes_request(what.since.value), fetch_timeout});
+             rpc_changes_request(what.since.value), what.timeout});
         this->calls[id] = {call_kind::peer, what.control, {}, {}};
     }
 
@@ -61,12 +62,12 @@
     {
         pending_call const call = this->calls[exchange];
         this->calls.erase(exchange);
-        bool const good = result.end == http_end::whole && result.status == 200;
+        std::uint32_t const status =
+            result.end == http_end::whole ? result.status : 0;
         if (call.kind == call_kind::peer)
-            return {this->peer_answered(call, good)};
-        std::optional<std::string> const text =
-            good ? std::optional{call.body} : std::nullopt;
-        return this->carry_out(this->reader.answer(call.path, text));
+            return {this->peer_answered(call, status == status_good)};
+        return this->carry_out(
+            this->reader.answer(call.path, {status, call.body}));
     }
 
 private:
@@ -93,8 +94,11 @@
             else if (change_arrived const* change =
                          std::get_if<change_arrived>(&one))
                 events.push_back(*change);
+            else if (change_missed const* missed =
+                         std::get_if<change_missed>(&one))
+                events.push_back(*missed);
             else
-                events.push_back(std::get<change_missed>(one));
+                events.push_back(std::get<note_failure>(one));
         }
         return events;
     }
@@ -128,7 +132,7 @@
 
     Loop& loop;
     peer_address platform;
-    platform_reader reader;
+    Reader reader;
     std::map<exchange_id, pending_call> calls = {};
 };
 
--- a/src/programs/entry_program.cpp
+++ b/src/programs/entry_program.cpp
@@ -21,9 +21,10 @@
 
 entry_program::entry_program(entry_settings const& settings)
     : settings(settings), started(read_clock()),
-      loop(*this, {settings.process.control, std::chrono::milliseconds{100}}),
+      loop(*this, {{settings.process.control}, std::chrono::milliseconds{100}}),
       role(peers_of(settings), seeded_random{random_word()}, this->started),
-      control(this->loop, settings.process.platform),
+      control(this->loop, settings.process.platform,
+              documents_reader{settings.process.platform}),
       rpc({this,
            [](void* self) {
                return write_status(static_cast<entry_program*>(self)->status());
@@ -66,6 +67,7 @@
     this->log.info("takes packets at " + to_text(this->settings.callers));
     this->loop.run();
     this->log.info("stopped");
+    flush_logs();
 }
 
 bool entry_program::was_cut_off() const
@@ -96,7 +98,10 @@
     for (control_event const& event : events)
         std::visit(
             [this](auto const& one) {
-                this->feed(entry_event{one});
+                if constexpr (requires { entry_event{one}; })
+                    this->feed(entry_event{one});
+                else
+                    this->perform(one);
             },
             event);
 }
@@ -144,6 +149,7 @@
         this->feed(entry_event{stop_asked{}});
     }
     this->feed(entry_event{clock_tick{}});
+    this->log.tick(read_clock());
 }
 
 void entry_program::on_http_request(exchange_id exchange,
--- a/src/programs/main.hpp
+++ b/src/programs/main.hpp
@@ -1,4 +1,4 @@
-// The short main that entry and target share.
+// The short main that all processes share.
 //
 // Index
 //   run_process   parse, check, open, run; returns the exit code
@@ -7,6 +7,7 @@
 #include "base/failure.hpp"
 #include "loop/signals.hpp"
 #include "programs/command_line.hpp"
+#include "programs/settings.hpp"
 #include "telemetry/logging.hpp"
 
 #include <iostream>
@@ -16,13 +17,15 @@
 
 // ---- run_process --------------------------------------------------------
 
-template <class Program, class Parse>
-int run_process(int count, char** arguments, std::string const& name,
-                Parse parse)
+// `about` names the program and where its settings are looked for. `parse`
+// makes settings of a text, `make` a program of settings.
+template <class Parse, class Make>
+int run_process(int count, char** arguments, program_about const& about,
+                Parse parse, Make make)
 {
     int exit_code = exit_good;
     std::optional<process_start> const start =
-        read_command_line(count, arguments, name, exit_code);
+        read_command_line(count, arguments, about, exit_code);
     if (!start)
         return exit_code;
     json_checker checker{start->settings_file};
@@ -37,12 +40,13 @@
     }
     if (sodium_init() < 0)
         return exit_failed;
-    start_logging(settings->process.log_level);
+    log_identity const identity = identity_of(*settings);
+    start_logging(identity.level, identity.process);
     catch_stop_signals();
-    Program program{*settings};
+    auto program = make(*settings);
     failure last;
     if (!program.open(last)) {
-        std::cerr << name << ": " << to_text(last) << '\n';
+        std::cerr << about.name << ": " << to_text(last) << '\n';
         return exit_failed;
     }
     program.run();
--- a/src/programs/settings.cpp
+++ b/src/programs/settings.cpp
@@ -9,17 +9,6 @@
 constexpr std::uint64_t most_answer_memory = 1U << 20U;  // megabytes
 constexpr std::uint64_t usual_answer_memory = 64;        // megabytes
 
-std::string read_log_level(json_checker& checker, json_place const& object)
-{
-    std::string const level = checker.text(object, "log_level");
-    for (char const* known : {"debug", "info", "warn", "error"})
-        if (level == known)
-            return level;
-    checker.problem({&(*object.value)["log_level"], "log_level"},
-                    "debug, info, warn or error");
-    return "info";
-}
-
 process_settings read_process(json_checker& checker, json_place const& object)
 {
     std::string const name = checker.text(object, "name");
@@ -64,6 +53,17 @@
 
 }  // namespace
 
+std::string read_log_level(json_checker& checker, json_place const& object)
+{
+    std::string const level = checker.text(object, "log_level");
+    for (char const* known : {"debug", "info", "warn", "error"})
+        if (level == known)
+            return level;
+    checker.problem({&(*object.value)["log_level"], "log_level"},
+                    "debug, info, warn or error");
+    return "info";
+}
+
 std::optional<entry_settings> parse_entry_settings(json_checker& checker,
                                                    std::string const& text)
 {
@@ -76,4 +76,14 @@
     return parse_checked(checker, text, read_slot);
 }
 
+log_identity identity_of(entry_settings const& settings)
+{
+    return {settings.process.name, settings.process.log_level};
+}
+
+log_identity identity_of(slot_settings const& settings)
+{
+    return {settings.process.name, settings.process.log_level};
+}
+
 }  // namespace lagoon
--- a/src/programs/settings.hpp
+++ b/src/programs/settings.hpp
@@ -7,7 +7,7 @@
 #pragma once
 
 #include "base/values.hpp"
-#include "platform/checked_json.hpp"
+#include "documents/checked_json.hpp"
 
 #include <optional>
 #include <string>
@@ -52,6 +52,20 @@
 
 // ---- parsing ------------------------------------------------------------
 
+// Who a process's log lines are from, and which of them are wanted.
+struct log_identity
+{
+    std::string process = {};
+    std::string level = {};
+    auto operator<=>(log_identity const&) const = default;
+};
+
+log_identity identity_of(entry_settings const& settings);
+log_identity identity_of(slot_settings const& settings);
+
+// The field "log_level", as every settings file has it.
+std::string read_log_level(json_checker& checker, json_place const& object);
+
 std::optional<entry_settings> parse_entry_settings(json_checker& checker,
                                                    std::string const& text);
 std::optional<slot_settings> parse_slot_settings(json_checker& checker,
--- a/src/programs/target_program.cpp
+++ b/src/programs/target_program.cpp
@@ -37,10 +37,11 @@
 
 target_program::target_program(slot_settings const& settings)
     : settings(settings), started(read_clock()),
-      loop(*this, {settings.process.control, std::chrono::milliseconds{20}}),
+      loop(*this, {{settings.process.control}, std::chrono::milliseconds{20}}),
       role(role_settings(settings), peers_of(settings),
            seeded_random{random_word()}, this->started),
-      control(this->loop, settings.process.platform),
+      control(this->loop, settings.process.platform,
+              documents_reader{settings.process.platform}),
       rpc({this,
            [](void* self) {
                return write_status(
@@ -74,6 +75,7 @@
     this->log.info("takes packets at " + to_text(this->settings.packets));
     this->loop.run();
     this->log.info("stopped");
+    flush_logs();
 }
 
 bool target_program::was_cut_off() const
@@ -104,7 +106,10 @@
     for (control_event const& event : events)
         std::visit(
             [this](auto const& one) {
-                this->feed(target_event{one});
+                if constexpr (requires { target_event{one}; })
+                    this->feed(target_event{one});
+                else
+                    this->perform(one);
             },
             event);
 }
@@ -137,6 +142,7 @@
     if (this->stopping && !this->role.is_idle())
         this->busy_until = read_clock() + target_linger;
     this->feed(target_event{clock_tick{}});
+    this->log.tick(read_clock());
 }
 
 void target_program::on_http_request(exchange_id exchange,
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -16,6 +16,7 @@
 #include <optional>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace lagoon {
 
@@ -145,6 +146,7 @@
     duration platform_age = {};
     peer_address control = {};  // where the sender answers JSON-RPC
     bool reply_wanted = false;
+    std::vector<peer_address> peers = {};  // some that it has heard of
     auto operator<=>(peer_digest const&) const = default;
 };
 
--- a/src/sheet/folder.cpp
+++ b/src/sheet/folder.cpp
@@ -1,6 +1,6 @@
 #include "sheet/folder.hpp"
 
-#include "platform/files.hpp"
+#include "documents/files.hpp"
 
 #include <filesystem>
 #include <fstream>
--- a/src/sheet/sheet.hpp
+++ b/src/sheet/sheet.hpp
@@ -15,7 +15,7 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
-#include "platform/documents.hpp"
+#include "documents/documents.hpp"
 
 #include <map>
 #include <optional>
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -379,8 +379,8 @@
         this->refuse_request(key, {reason::malformed, {}}, now);
         return;
     }
-    std::optional<refusal> const refused =
-        this->gate.offer(key, detail::kind_of(record), record.deadline, now);
+    std::optional<refusal> const refused = this->gate.offer(
+        key, detail::kind_of(record), request_urgency{record.deadline}, now);
     if (refused)
         this->refuse_request(key, *refused, now);
 }
--- /dev/null
+++ b/src/telemetry/exposition.cpp
@@ -0,0 +1,94 @@
+#include "telemetry/exposition.hpp"
+
+#include <array>
+#include <cstdio>
+
+namespace lagoon {
+
+namespace {
+
+// Seconds. From a round trip within a data centre to the longest deadline.
+constexpr std::array<double, 12> bucket_edges{
+    0, 0.001, 0.002, 0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 5.0};
+
+std::string number_text(double value)
+{
+    std::array<char, 32> digits{};
+    int const size = std::snprintf(digits.data(), digits.size(), "%.6g", value);
+    return {digits.data(), static_cast<std::size_t>(size)};
+}
+
+}  // namespace
+
+latency_histogram::latency_histogram()
+    : counts(boost::histogram::make_histogram(
+          axis(bucket_edges.begin(), bucket_edges.end())))
+{
+}
+
+void latency_histogram::add(duration span)
+{
+    double const seconds = static_cast<double>(span.count()) / 1e6;
+    this->counts(seconds);
+    this->sum += seconds;
+}
+
+std::vector<named_count> latency_histogram::cumulative() const
+{
+    std::vector<named_count> all;
+    std::uint64_t upto = 0;
+    auto const bins = static_cast<int>(bucket_edges.size()) - 1;
+    for (int i = 0; i < bins; ++i) {
+        upto += static_cast<std::uint64_t>(this->counts.at(i));
+        all.push_back(
+            {number_text(bucket_edges[static_cast<std::size_t>(i) + 1]), upto});
+    }
+    all.push_back(
+        {"+Inf", upto + static_cast<std::uint64_t>(this->counts.at(bins))});
+    return all;
+}
+
+double latency_histogram::sum_seconds() const
+{
+    return this->sum;
+}
+
+exposition& exposition::counters(std::string_view family,
+                                 std::string_view label,
+                                 std::vector<named_count> const& counts)
+{
+    this->text += "# TYPE " + std::string{family} + " counter\n";
+    for (named_count const& one : counts)
+        this->text += std::string{family} + "{" + std::string{label} + "=\"" +
+                      one.label + "\"} " + std::to_string(one.count) + "\n";
+    return *this;
+}
+
+exposition& exposition::gauge(std::string_view name, double value)
+{
+    this->text += "# TYPE " + std::string{name} + " gauge\n" +
+                  std::string{name} + " " + number_text(value) + "\n";
+    return *this;
+}
+
+exposition& exposition::histogram(std::string_view name,
+                                  latency_histogram const& values)
+{
+    std::string const family{name};
+    std::vector<named_count> const buckets = values.cumulative();
+    this->text += "# TYPE " + family + " histogram\n";
+    for (named_count const& one : buckets)
+        this->text += family + "_bucket{le=\"" + one.label + "\"} " +
+                      std::to_string(one.count) + "\n";
+    this->text += family + "_sum " + number_text(values.sum_seconds()) + "\n";
+    this->text +=
+        family + "_count " + std::to_string(buckets.back().count) + "\n";
+    return *this;
+}
+
+std::string exposition::take() const
+{
+    return this->text;
+}
+
+}  // namespace lagoon
--- a/src/telemetry/logging.hpp
+++ b/src/telemetry/logging.hpp
@@ -1,10 +1,16 @@
-// Logs: short sentences on standard error, each with its part's prefix.
+// Logs: structured lines on standard output, one JSON object each. They are
+// bounded by a budget of lines a second and never block: what a full pipe
+// doesn't take is dropped and counted.
 //
 // Index
 //   start_logging   once in a program
-//   part_log        the log of one part
+//   flush_logs      on every tick
+//   part_log        the log of one part, with its budget
 #pragma once
 
+#include "telemetry/log_line.hpp"
+
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -13,22 +19,48 @@
 // ---- start_logging ------------------------------------------------------
 
 // Levels: "debug", "info", "warn", "error". Returns false for another text.
-bool start_logging(std::string const& level);
+// `process` stands in every line.
+bool start_logging(std::string const& level, std::string const& process);
+
+// ---- flush_logs ---------------------------------------------------------
+
+// Writes what is buffered, as far as standard output takes it.
+void flush_logs();
 
 // ---- part_log -----------------------------------------------------------
 
+// Lines about single requests beyond this are left out and counted; those
+// about what the process believes always go.
+constexpr std::uint32_t usual_lines_per_second = 150;
+
 class part_log
 {
 public:
     explicit part_log(std::string_view prefix);  // such as "entry"
 
+    void set_budget(std::uint32_t lines_per_second);
+
     void debug(std::string const& sentence) const;
     void info(std::string const& sentence) const;
     void warn(std::string const& sentence) const;
     void error(std::string const& sentence) const;
 
+    // A line about the process itself.
+    void write(log_line const& line) const;
+
+    // Whether a line about a request may be written now. Asked first, so that
+    // nothing is spent on a line that isn't written.
+    bool may_write(time_point now);
+
+    // Says what was left out; call it on every tick.
+    void tick(time_point now);
+
 private:
     std::string prefix;
+    std::uint32_t budget = usual_lines_per_second;
+    std::uint32_t left = usual_lines_per_second;  // in this second
+    std::uint64_t left_out = 0;
+    time_point second_began = {};
 };
 
 }  // namespace lagoon
--- /dev/null
+++ b/src/tracking/back_end_monitor.cpp
@@ -0,0 +1,51 @@
+#include "tracking/back_end_monitor.hpp"
+
+namespace lagoon {
+
+void back_end_monitor::given(connection_ends const& ends,
+                             std::string const& bytes, time_point now)
+{
+    this->last_given = now;
+    if (this->pending.size() < most_unanswered)
+        this->pending.push_back({ends, now, bytes});
+}
+
+void back_end_monitor::heard(connection_ends const& ends, time_point)
+{
+    this->is_silent = false;
+    std::erase_if(this->pending, [&ends](unanswered_open const& one) {
+        return one.ends == ends;
+    });
+}
+
+void back_end_monitor::refused(connection_ends const& ends, time_point now)
+{
+    this->heard(ends, now);
+    this->is_silent = true;
+}
+
+std::vector<unanswered_open> back_end_monitor::take_overdue(time_point now)
+{
+    std::vector<unanswered_open> overdue;
+    while (!this->pending.empty() &&
+           now - this->pending.front().at >= accept_limit) {
+        overdue.push_back(this->pending.front());
+        this->pending.pop_front();
+        this->is_silent = true;
+    }
+    return overdue;
+}
+
+bool back_end_monitor::may_give(time_point now) const
+{
+    return !this->is_silent || now - this->last_given >= trial_interval;
+}
+
+std::optional<time_point> back_end_monitor::next_due() const
+{
+    if (this->pending.empty())
+        return std::nullopt;
+    return this->pending.front().at + accept_limit;
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/tracking/connections.cpp
@@ -0,0 +1,96 @@
+#include "tracking/connections.hpp"
+
+#include "base/sweep.hpp"
+
+#include <algorithm>
+
+namespace lagoon {
+
+namespace {
+
+// How far an acknowledgement may lie from what the back end sends next: the
+// window of sequence numbers that the platform takes for near.
+constexpr std::uint32_t sequence_window = 76'800;  // bytes
+
+bool is_finished(connection_record const& record)
+{
+    return record.caller_finished && record.target_finished;
+}
+
+}  // namespace
+
+bool acknowledges_this(connection_record const& record,
+                       connection_packet const& packet)
+{
+    if (!record.knows_sequence || packet.opens)
+        return true;
+    std::uint32_t const ahead = packet.acknowledged - record.target_sequence;
+    std::uint32_t const behind = record.target_sequence - packet.acknowledged;
+    return std::min(ahead, behind) <= sequence_window;
+}
+
+connection_table::connection_table(connection_limits limits) : limits(limits) {}
+
+connection_record const*
+connection_table::find(connection_ends const& ends) const
+{
+    auto const found = this->connections.find(ends);
+    return found == this->connections.end() ? nullptr : &found->second;
+}
+
+bool connection_table::put(connection_ends const& ends,
+                           connection_record const& record)
+{
+    auto const found = this->connections.find(ends);
+    if (found != this->connections.end()) {
+        found->second = record;
+        return true;
+    }
+    if (this->connections.size() >= this->limits.most)
+        return false;
+    this->connections.emplace(ends, record);
+    return true;
+}
+
+void connection_table::erase(connection_ends const& ends)
+{
+    this->connections.erase(ends);
+}
+
+bool connection_table::is_over(connection_record const& record,
+                               time_point now) const
+{
+    duration lifetime = this->limits.idle_lifetime;
+    if (is_finished(record))
+        lifetime = this->limits.finished_lifetime;
+    if (record.stage == connection_stage::foreign)
+        lifetime = this->limits.foreign_lifetime;
+    return now - record.last_used > lifetime;
+}
+
+void connection_table::sweep(time_point now)
+{
+    sweep_part(
+        this->connections, this->next_bucket,
+        [this, now](connection_ends const&, connection_record const& one) {
+            return this->is_over(one, now);
+        });
+}
+
+bool connection_table::any_used_within(duration span, time_point now) const
+{
+    return std::any_of(this->connections.begin(), this->connections.end(),
+                       [span, now](auto const& one) {
+                           return !is_finished(one.second) &&
+                                  one.second.stage !=
+                                      connection_stage::foreign &&
+                                  now - one.second.last_used < span;
+                       });
+}
+
+std::size_t connection_table::size() const
+{
+    return this->connections.size();
+}
+
+}  // namespace lagoon
--- /dev/null
+++ b/src/tracking/waiting_opens.hpp
@@ -0,0 +1,51 @@
+// The opening packets that wait at a target for a slot, by the key under which
+// the admission knows them.
+//
+// Index
+//   waiting_open    one packet
+//   waiting_opens   the aggregate
+#pragma once
+
+#include "protocol/relay.hpp"
+
+#include <optional>
+#include <unordered_map>
+
+namespace lagoon {
+
+// ---- waiting_open -------------------------------------------------------
+
+struct waiting_open
+{
+    connection_packet packet = {};
+    peer_address entry = {};
+    auto operator<=>(waiting_open const&) const = default;
+};
+
+// ---- waiting_opens ------------------------------------------------------
+
+class waiting_opens
+{
+public:
+    void put(waiting_open const& one)
+    {
+        this->waiting.insert_or_assign(key_of(one.packet.ends), one);
+    }
+
+    // Takes one out, when it is still there.
+    std::optional<waiting_open> take(flow_key key)
+    {
+        auto const found = this->waiting.find(key);
+        if (found == this->waiting.end())
+            return std::nullopt;
+        waiting_open const one = found->second;
+        this->waiting.erase(found);
+        return one;
+    }
+
+private:
+    std::unordered_map<flow_key, waiting_open, detail::identifier_hash>
+        waiting = {};
+};
+
+}  // namespace lagoon
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -1,5 +1,10 @@
 #include "wire/codec.hpp"
 
+#include "membership/peers.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <array>
 #include <cstring>
 #include <msgpack.hpp>
 
@@ -23,9 +28,13 @@
     segment = 19,
     inward = 32,
     outward = 33,
-    digest = 48
+    digest = 48,
+    offer = 64,
+    offer_answered = 65
 };
 
+constexpr std::size_t packed_address_size = 6;  // bytes: IP and port
+
 // ---- writing ------------------------------------------------------------
 
 class packet_writer
@@ -194,13 +203,52 @@
 
     void put(peer_digest const& what)
     {
-        this->begin(7, packet_kind::digest);
+        this->begin(8, packet_kind::digest);
         this->put(what.sender.value);
         this->put(what.version.number.value);
         this->put(what.version.content.value);
         this->put(what.platform_age);
         this->put(what.control);
         this->put(std::uint64_t{what.reply_wanted ? 1U : 0U});
+        this->put(what.peers);
+    }
+
+    void put(packet_offer const& offer)
+    {
+        this->begin(offer.terms ? 10 : 5, packet_kind::offer);
+        this->put(std::uint64_t{offer.question.value});
+        this->put(offer.service.value);
+        this->put(std::uint64_t{offer.slots});
+        this->put(std::uint64_t{offer.may_wait ? 1U : 0U});
+        this->put(std::string_view{offer.bytes});
+        if (!offer.terms)
+            return;
+        this->put(offer.terms->route);
+        this->put(offer.terms->objective);
+        this->put(offer.terms->deadline);
+        this->put(std::uint64_t{offer.terms->priority});
+    }
+
+    void put(offer_answer const& answer)
+    {
+        this->begin(5, packet_kind::offer_answered);
+        this->put(std::uint64_t{answer.question.value});
+        this->put(static_cast<std::uint64_t>(answer.verdict));
+        this->put(std::uint64_t{answer.load});
+        this->put(std::uint64_t{answer.slots});
+        this->put(std::string_view{answer.bytes});
+    }
+
+    void put(std::vector<peer_address> const& addresses)
+    {
+        std::string packed;
+        for (peer_address const& one : addresses) {
+            std::array<std::uint8_t, packed_address_size> bytes{};
+            boost::endian::store_big_u32(bytes.data(), one.ip);
+            boost::endian::store_big_u16(bytes.data() + 4, one.port);
+            packed.append(bytes.begin(), bytes.end());
+        }
+        this->put(std::string_view{packed});
     }
 
     std::string take() const
@@ -276,6 +324,21 @@
         return {ip, port};
     }
 
+    std::vector<peer_address> addresses(std::size_t most)
+    {
+        std::string_view packed = this->bytes(most * packed_address_size);
+        std::vector<peer_address> all;
+        for (; packed.size() >= packed_address_size;
+             packed.remove_prefix(packed_address_size)) {
+            auto const* at =
+                reinterpret_cast<unsigned char const*>(packed.data());
+            all.push_back({boost::endian::load_big_u32(at),
+                           boost::endian::load_big_u16(at + 4)});
+        }
+        this->good = this->good && packed.empty();
+        return all;
+    }
+
     flow_token token()
     {
         service_id const service{this->number()};
@@ -412,7 +475,43 @@
     duration const age = in.span();
     peer_address const control = in.address();
     bool const reply_wanted = in.number(1) == 1;
-    return {sender, {number, content}, age, control, reply_wanted};
+    return {sender,  {number, content}, age,
+            control, reply_wanted,      in.addresses(peers_in_digest)};
+}
+
+request_terms read_terms(field_reader& in)
+{
+    peer_address const route = in.address();
+    duration const objective = in.span();
+    duration const deadline = in.span();
+    return {route, objective, deadline,
+            static_cast<std::uint8_t>(in.number(UINT8_MAX))};
+}
+
+packet_offer read_offer(field_reader& in)
+{
+    question_id const question{
+        static_cast<std::uint32_t>(in.number(UINT32_MAX))};
+    service_id const service{in.number()};
+    auto const slots = static_cast<std::uint32_t>(in.number(UINT32_MAX));
+    bool const may_wait = in.number(1) == 1;
+    std::string_view const bytes = in.bytes(max_datagram_size);
+    std::optional<request_terms> terms;
+    if (in.has_more())
+        terms = read_terms(in);
+    return {question, service, slots, may_wait, terms, std::string{bytes}};
+}
+
+offer_answer read_offer_answer(field_reader& in)
+{
+    question_id const question{
+        static_cast<std::uint32_t>(in.number(UINT32_MAX))};
+    auto const verdict = static_cast<offer_verdict>(
+        in.number(static_cast<std::uint64_t>(offer_verdict::refused)));
+    auto const load = static_cast<std::uint32_t>(in.number(UINT32_MAX));
+    auto const slots = static_cast<std::uint32_t>(in.number(UINT32_MAX));
+    std::string_view const bytes = in.bytes(max_datagram_size);
+    return {question, verdict, load, slots, std::string{bytes}};
 }
 
 std::optional<caller_message> read_caller_message(packet_kind kind,
@@ -504,6 +603,10 @@
         return datagram{*message};
     if (kind == packet_kind::digest)
         return datagram{read_digest(in)};
+    if (kind == packet_kind::offer)
+        return datagram{read_offer(in)};
+    if (kind == packet_kind::offer_answered)
+        return datagram{read_offer_answer(in)};
     if (kind == packet_kind::inward) {
         std::optional<inward_packet> const packet = read_inward(in);
         return packet ? std::optional<datagram>{*packet} : std::nullopt;
@@ -578,6 +681,16 @@
     return encode(what);
 }
 
+std::string encode_packet(packet_offer const& offer)
+{
+    return encode(offer);
+}
+
+std::string encode_packet(offer_answer const& answer)
+{
+    return encode(answer);
+}
+
 // ---- decode_packet ------------------------------------------------------
 
 std::optional<datagram> decode_packet(std::string_view bytes, peer_address from,
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -10,6 +10,7 @@
 
 #include "base/failure.hpp"
 #include "protocol/messages.hpp"
+#include "protocol/relay.hpp"
 
 #include <optional>
 #include <string>
@@ -22,8 +23,9 @@
 
 constexpr std::uint32_t wire_version = 1;
 
-using datagram = std::variant<caller_message, answer_message, inward_packet,
-                              outward_packet, peer_digest>;
+using datagram =
+    std::variant<caller_message, answer_message, inward_packet, outward_packet,
+                 peer_digest, packet_offer, offer_answer>;
 
 // ---- encode_packet ------------------------------------------------------
 
@@ -32,6 +34,8 @@
 std::string encode_packet(inward_packet const& packet);
 std::string encode_packet(outward_packet const& packet);
 std::string encode_packet(peer_digest const& what);
+std::string encode_packet(packet_offer const& offer);
+std::string encode_packet(offer_answer const& answer);
 
 // ---- decode_packet ------------------------------------------------------
 
--- a/tests/stand_ins/back_end.cpp
+++ b/tests/stand_ins/back_end.cpp
@@ -53,7 +53,7 @@
     back_end_program(peer_address listen, std::size_t slots,
                      std::size_t cold_runs, std::size_t reported_load)
         : slots(slots), cold_runs(cold_runs), reported_load(reported_load),
-          loop(*this, {listen, std::chrono::milliseconds{2}})
+          loop(*this, {{listen}, std::chrono::milliseconds{2}})
     {
     }
 
--- a/tests/stand_ins/options.hpp
+++ b/tests/stand_ins/options.hpp
@@ -4,7 +4,7 @@
 //   read_options   the pairs, over the defaults
 #pragma once
 
-#include "platform/checked_json.hpp"
+#include "documents/checked_json.hpp"
 
 #include <boost/program_options.hpp>
 
--- a/tests/stand_ins/platform.cpp
+++ b/tests/stand_ins/platform.cpp
@@ -43,7 +43,7 @@
 public:
     platform_program(peer_address listen, std::string folder, std::size_t rate)
         : folder(std::move(folder)), rate(rate),
-          loop(*this, {listen, std::chrono::milliseconds{20}})
+          loop(*this, {{listen}, std::chrono::milliseconds{20}})
     {
         this->refresh();
     }
--- a/tests/stories/documents_story.cpp
+++ b/tests/stories/documents_story.cpp
@@ -1,4 +1,4 @@
-#include "platform/reader.hpp"
+#include "documents/reader.hpp"
 #include "programs/settings.hpp"
 #include "sheet/sheet.hpp"
 #include "story.hpp"
@@ -54,7 +54,13 @@
 // A reader of the platform that is given a set of documents to read.
 struct a_platform_reader : compiled_once
 {
-    platform_reader reader{{1, 1}};
+    documents_reader reader{{1, 1}};
+
+    key_answer answer_of(document_set const& set, std::string const& path) const
+    {
+        std::optional<std::string> const text = this->text_of(set, path);
+        return text ? key_answer{200, *text} : key_answer{404, {}};
+    }
 
     std::optional<std::string> text_of(document_set const& set,
                                        std::string const& path) const
@@ -83,8 +89,8 @@
             if (ask == nullptr)
                 return one;
             ++this->keys;
-            for (reader_step const& more :
-                 this->reader.answer(ask->path, this->text_of(set, ask->path)))
+            for (reader_step const& more : this->reader.answer(
+                     ask->path, this->answer_of(set, ask->path)))
                 steps.push_back(more);
         }
         FAIL("the reader never ended");
@@ -256,7 +262,7 @@
 {
     this->reader.begin({{}, false, {}});
     reader_steps const steps =
-        this->reader.answer("/v1/head", "{\"generation\": -1}");
+        this->reader.answer("/v1/head", {200, "{\"generation\": -1}"});
     SAME(reason::malformed, std::get<change_missed>(steps[0]).why.why);
 }
 
