--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -18,9 +18,9 @@
     return hash_pair(packed, seed);
 }
 
-std::uint64_t hash_target(std::uint64_t seed, target_record const& target)
+std::uint64_t hash_target(service_id service, target_record const& target)
 {
-    seed = hash_pair(target.id.value, seed);
+    std::uint64_t seed = hash_pair(target.id.value, service.value);
     seed = hash_text(seed, target.name);
     seed = hash_text(seed, target.data_centre);
     seed = hash_address(seed, target.address);
@@ -29,6 +29,11 @@
     return hash_pair(static_cast<std::uint64_t>(target.state), seed);
 }
 
+std::uint64_t hash_name(service_id service, std::string const& name)
+{
+    return hash_text(service.value, name);
+}
+
 std::uint64_t hash_entry(std::uint64_t seed, entry_record const& entry)
 {
     seed = hash_pair(entry.id.value, seed);
@@ -38,9 +43,9 @@
     return hash_address(seed, entry.control);
 }
 
-std::uint64_t hash_route(std::uint64_t seed, route_record const& route)
+std::uint64_t hash_route(route_record const& route)
 {
-    seed = hash_address(seed, route.address);
+    std::uint64_t seed = hash_address(0, route.address);
     for (weighted_service const& share : route.services) {
         seed = hash_pair(share.service.value, seed);
         seed = hash_pair(share.weight, seed);
@@ -51,6 +56,122 @@
     return hash_pair(route.is_idempotent ? 1U : 0U, seed);
 }
 
+std::uint64_t hash_lifetime(duration idle_lifetime)
+{
+    return idle_lifetime == duration{}
+               ? 0
+               : hash_pair(static_cast<std::uint64_t>(idle_lifetime.count()),
+                           1);
+}
+
+// The targets of a part stand in the order of their ids where they come as
+// single records.
+auto place_of(std::vector<target_record>& targets, target_id id)
+{
+    return std::find_if(targets.begin(), targets.end(),
+                        [id](target_record const& one) {
+                            return one.id == id;
+                        });
+}
+
+target_record const* find_target(service_part const& part, target_id id)
+{
+    for (target_record const& one : part.targets)
+        if (one.id == id)
+            return &one;
+    return nullptr;
+}
+
+route_record const* find_record(routes_part const& part, peer_address address)
+{
+    auto const found =
+        std::lower_bound(part.routes.begin(), part.routes.end(), address,
+                         [](route_record const& route, peer_address wanted) {
+                             return route.address < wanted;
+                         });
+    bool const is_there =
+        found != part.routes.end() && found->address == address;
+    return is_there ? &*found : nullptr;
+}
+
+// What the sum over a service's records gains by a delta.
+std::uint64_t gain_of(service_part const* old, service_delta const& delta)
+{
+    std::uint64_t gain = old == nullptr ? hash_name(delta.id, delta.name) : 0;
+    auto const take_out = [&](target_id id) {
+        target_record const* was =
+            old == nullptr ? nullptr : find_target(*old, id);
+        if (was != nullptr)
+            gain -= hash_target(delta.id, *was);
+    };
+    for (target_record const& target : delta.changed) {
+        take_out(target.id);
+        gain += hash_target(delta.id, target);
+    }
+    for (target_id const id : delta.gone)
+        take_out(id);
+    return gain;
+}
+
+std::uint64_t gain_of(routes_part const& old, routes_delta const& delta)
+{
+    std::uint64_t gain =
+        hash_lifetime(delta.idle_lifetime) - hash_lifetime(old.idle_lifetime);
+    auto const take_out = [&](peer_address address) {
+        if (route_record const* was = find_record(old, address))
+            gain -= hash_route(*was);
+    };
+    for (route_record const& route : delta.changed) {
+        take_out(route.address);
+        gain += hash_route(route);
+    }
+    for (peer_address const& address : delta.gone)
+        take_out(address);
+    return gain;
+}
+
+// Takes the later delta into the earlier one.
+void merge(service_delta& into, service_delta const& later)
+{
+    into.name = later.name;
+    for (target_record const& target : later.changed) {
+        std::erase(into.gone, target.id);
+        auto const at = place_of(into.changed, target.id);
+        if (at != into.changed.end())
+            *at = target;
+        else
+            into.changed.push_back(target);
+    }
+    for (target_id const id : later.gone) {
+        auto const at = place_of(into.changed, id);
+        if (at != into.changed.end())
+            into.changed.erase(at);
+        std::erase(into.gone, id);
+        into.gone.push_back(id);
+    }
+}
+
+void merge(routes_delta& into, routes_delta const& later)
+{
+    into.idle_lifetime = later.idle_lifetime;
+    auto const drop = [&into](peer_address address) {
+        std::erase_if(into.changed, [address](route_record const& one) {
+            return one.address == address;
+        });
+        std::erase(into.gone, address);
+    };
+    for (route_record const& route : later.changed) {
+        drop(route.address);
+        into.changed.push_back(route);
+    }
+    for (peer_address const& address : later.gone) {
+        drop(address);
+        into.gone.push_back(address);
+    }
+}
+
+constexpr std::size_t recent_changes = 32;  // kept for peers that are behind
+
 }  // namespace
 
 // ---- records ------------------------------------------------------------
@@ -59,32 +180,34 @@
 // reads may date them differently.
 digest digest_of(service_part const& part)
 {
-    std::uint64_t seed = part.id.value;
-    seed = hash_text(seed, part.name);
+    std::uint64_t sum = hash_name(part.id, part.name);
     for (caller_id const caller : part.callers)
-        seed = hash_pair(caller.value, seed);
+        sum += hash_pair(caller.value, part.id.value);
     for (target_record const& target : part.targets)
-        seed = hash_target(seed, target);
-    return {seed};
+        sum += hash_target(part.id, target);
+    return {sum};
 }
 
 digest digest_of(fleet_part const& part)
 {
-    std::uint64_t seed = 0;
+    std::uint64_t sum = 0;
     for (entry_record const& entry : part.entries)
-        seed = hash_entry(seed, entry);
-    return {seed};
+        sum += hash_entry(0, entry);
+    return {sum};
 }
 
 digest digest_of(routes_part const& part)
 {
-    std::uint64_t seed = 0;
+    std::uint64_t sum = hash_lifetime(part.idle_lifetime);
     for (route_record const& route : part.routes)
-        seed = hash_route(seed, route);
-    if (part.idle_lifetime != duration{})
-        seed = hash_pair(static_cast<std::uint64_t>(part.idle_lifetime.count()),
-                         seed);
-    return {seed};
+        sum += hash_route(route);
+    return {sum};
+}
+
+bool holds_records_alone(catalog_change const& change)
+{
+    return change.base != generation{} && change.parts.empty() &&
+           !change.fleet && !change.routes;
 }
 
 // ---- catalog ------------------------------------------------------------
@@ -114,6 +237,13 @@
         sum -= digest_of(from.routes).value;
     if (change.routes || whole)
         sum += digest_of(change.routes.value_or(routes_part{})).value;
+    for (service_delta const& delta : change.deltas) {
+        auto const old = from.services.find(delta.id);
+        sum +=
+            gain_of(old == from.services.end() ? nullptr : &old->second, delta);
+    }
+    if (change.route_delta)
+        sum += gain_of(from.routes, *change.route_delta);
     return {sum};
 }
 
@@ -133,15 +263,76 @@
         this->now.removed.insert_or_assign(id, change.to);
     }
     for (service_part const& part : change.parts)
-        for (target_record const& target : part.targets) {
-            located_target const old = this->targets[target.id];
-            this->targets[target.id] = {target.address, old.uses + 1};
-        }
+        for (target_record const& target : part.targets)
+            this->add_target(target);
     if (change.fleet)
         this->now.fleet = *change.fleet;
     if (change.routes)
         this->now.routes = *change.routes;
+    for (service_delta const& delta : change.deltas)
+        this->apply(delta, change.to);
+    if (change.route_delta)
+        this->apply(*change.route_delta, change.to);
     this->now.version = {change.to, change.whole};
+    this->remember(change);
+}
+
+void catalog::apply(service_delta const& delta, generation to)
+{
+    service_part& part = this->now.services[delta.id];
+    part.id = delta.id;
+    part.name = delta.name;
+    part.changed_at = to;
+    this->now.removed.erase(delta.id);
+    auto const take_out = [this, &part](target_id id) {
+        auto const at = place_of(part.targets, id);
+        if (at == part.targets.end())
+            return;
+        this->drop_target(*at);
+        part.targets.erase(at);
+    };
+    for (target_id const id : delta.gone)
+        take_out(id);
+    for (target_record const& target : delta.changed) {
+        take_out(target.id);
+        part.targets.push_back(target);
+        this->add_target(target);
+    }
+    std::sort(part.targets.begin(), part.targets.end());
+}
+
+void catalog::apply(routes_delta const& delta, generation to)
+{
+    routes_part& part = this->now.routes;
+    part.changed_at = to;
+    part.idle_lifetime = delta.idle_lifetime;
+    auto const take_out = [&part](peer_address address) {
+        std::erase_if(part.routes, [address](route_record const& one) {
+            return one.address == address;
+        });
+    };
+    for (peer_address const& address : delta.gone)
+        take_out(address);
+    for (route_record const& route : delta.changed) {
+        take_out(route.address);
+        part.routes.push_back(route);
+    }
+    std::sort(part.routes.begin(), part.routes.end());
+}
+
+void catalog::add_target(target_record const& target)
+{
+    located_target const old = this->targets[target.id];
+    this->targets[target.id] = {target.address, old.uses + 1};
+}
+
+void catalog::drop_target(target_record const& target)
+{
+    located_target const known = this->targets[target.id];
+    if (known.uses > 1)
+        this->targets[target.id] = {known.address, known.uses - 1};
+    else
+        this->targets.erase(target.id);
 }
 
 void catalog::drop_service(service_id id)
@@ -149,16 +340,22 @@
     auto const old = this->now.services.find(id);
     if (old == this->now.services.end())
         return;
-    for (target_record const& target : old->second.targets) {
-        located_target const known = this->targets[target.id];
-        if (known.uses > 1)
-            this->targets[target.id] = {known.address, known.uses - 1};
-        else
-            this->targets.erase(target.id);
-    }
+    for (target_record const& target : old->second.targets)
+        this->drop_target(target);
     this->now.services.erase(old);
 }
 
+void catalog::remember(catalog_change const& change)
+{
+    if (!holds_records_alone(change) || !change.removed.empty()) {
+        this->recent.clear();
+        return;
+    }
+    this->recent.push_back(change);
+    if (this->recent.size() > recent_changes)
+        this->recent.pop_front();
+}
+
 std::optional<catalog_version> catalog::adopt(catalog_change const& change,
                                               failure& last)
 {
@@ -253,6 +450,45 @@
 }
 
 catalog_change catalog::changes_since(generation base) const
+{
+    std::optional<catalog_change> const change = this->recent_since(base);
+    return change ? *change : this->whole_parts_since(base);
+}
+
+// Changes overlap where two processes read the platform; a record of the later
+// one stands.
+std::optional<catalog_change> catalog::recent_since(generation base) const
+{
+    bool const reaches_back = base != generation{} && !this->recent.empty() &&
+                              this->recent.front().base <= base;
+    if (!reaches_back)
+        return std::nullopt;
+    catalog_change all{base, this->now.version.number,
+                       this->now.version.content};
+    for (catalog_change const& one : this->recent) {
+        if (one.to <= base)
+            continue;
+        for (service_delta const& delta : one.deltas) {
+            auto const known =
+                std::find_if(all.deltas.begin(), all.deltas.end(),
+                             [&delta](service_delta const& other) {
+                                 return other.id == delta.id;
+                             });
+            if (known == all.deltas.end())
+                all.deltas.push_back(delta);
+            else
+                merge(*known, delta);
+        }
+        if (!one.route_delta)
+            continue;
+        if (!all.route_delta)
+            all.route_delta = routes_delta{};
+        merge(*all.route_delta, *one.route_delta);
+    }
+    return all;
+}
+
+catalog_change catalog::whole_parts_since(generation base) const
 {
     std::vector<service_part> parts;
     for (auto const& [id, part] : this->now.services)
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -9,6 +9,7 @@
 
 #include "base/failure.hpp"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -92,14 +93,34 @@
     auto operator<=>(routes_part const&) const = default;
 };
 
+// Sums over the records, so that a change of one costs no more than that one.
 digest digest_of(service_part const& part);
 digest digest_of(fleet_part const& part);
 digest digest_of(routes_part const& part);
 
 // ---- changes ------------------------------------------------------------
 
+// What changed within one service: the targets that are new or other than
+// before, and those that are gone.
+struct service_delta
+{
+    service_id id = {};
+    std::string name = {};
+    std::vector<target_record> changed = {};
+    std::vector<target_id> gone = {};
+    auto operator<=>(service_delta const&) const = default;
+};
+
+struct routes_delta
+{
+    std::vector<route_record> changed = {};
+    std::vector<peer_address> gone = {};
+    duration idle_lifetime = {};  // in force from now on
+    auto operator<=>(routes_delta const&) const = default;
+};
+
 // Everything that changed after `base` and up to `to`. With base 0 it is the
-// whole catalog.
+// whole catalog. A service stands in `parts` or in `deltas`, not in both.
 struct catalog_change
 {
     generation base = {};
@@ -109,9 +130,15 @@
     std::vector<service_id> removed = {};
     std::optional<fleet_part> fleet = {};
     std::optional<routes_part> routes = {};
+    std::vector<service_delta> deltas = {};
+    std::optional<routes_delta> route_delta = {};
     bool operator==(catalog_change const&) const = default;
 };
 
+// Whether a change brings single records and no whole part, so that it stays
+// small however large the catalog is.
+bool holds_records_alone(catalog_change const& change);
+
 // A catalog's version. Of two documents that carry one generation by mistake
 // the one with the larger digest wins everywhere.
 struct catalog_version
@@ -148,7 +175,8 @@
     route_record const* find_route(peer_address address) const;
     std::map<service_id, service_part> const& services() const;
 
-    // Everything that changed after `base`, for a peer that is behind.
+    // Everything that changed after `base`, for a peer that is behind: just
+    // the records, where the latest changes reach back far enough.
     catalog_change changes_since(generation base) const;
 
 private:
@@ -172,9 +200,17 @@
     static digest digest_after(contents const& from,
                                catalog_change const& change);
     void apply(catalog_change const& change);
+    void apply(service_delta const& delta, generation to);
+    void apply(routes_delta const& delta, generation to);
     void drop_service(service_id id);
+    void add_target(target_record const& target);
+    void drop_target(target_record const& target);
+    void remember(catalog_change const& change);
+    std::optional<catalog_change> recent_since(generation base) const;
+    catalog_change whole_parts_since(generation base) const;
 
     contents now = {};
+    std::deque<catalog_change> recent = {};  // records alone, oldest first
     std::unordered_map<target_id, located_target, detail::identifier_hash>
         targets = {};
 };
--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -1,7 +1,7 @@
 #include "catalog/published.hpp"
 
 #include <algorithm>
-#include <set>
+#include <iterator>
 
 namespace lagoon {
 
@@ -23,6 +23,42 @@
 
 }  // namespace
 
+namespace detail {
+
+service_delta delta_between(service_part const& old, service_part const& next)
+{
+    service_delta delta{next.id, next.name, {}, {}};
+    std::set_difference(next.targets.begin(), next.targets.end(),
+                        old.targets.begin(), old.targets.end(),
+                        std::back_inserter(delta.changed));
+    for (target_record const& one : old.targets)
+        if (std::none_of(next.targets.begin(), next.targets.end(),
+                         [&one](target_record const& other) {
+                             return other.id == one.id;
+                         }))
+            delta.gone.push_back(one.id);
+    return delta;
+}
+
+routes_delta delta_between(routes_part const& old, routes_part const& next)
+{
+    routes_delta delta{{}, {}, next.idle_lifetime};
+    std::set_difference(next.routes.begin(), next.routes.end(),
+                        old.routes.begin(), old.routes.end(),
+                        std::back_inserter(delta.changed));
+    std::vector<peer_address> had;
+    std::vector<peer_address> has;
+    for (route_record const& one : old.routes)
+        had.push_back(one.address);
+    for (route_record const& one : next.routes)
+        has.push_back(one.address);
+    std::set_difference(had.begin(), had.end(), has.begin(), has.end(),
+                        std::back_inserter(delta.gone));
+    return delta;
+}
+
+}  // namespace detail
+
 generation published_set::known() const
 {
     return this->revision;
@@ -56,6 +92,8 @@
         part.changed_at = upto;
         part.targets.push_back(record_of(key, target));
     }
+    for (auto& [id, part] : made)
+        std::sort(part.targets.begin(), part.targets.end());
     return made;
 }
 
@@ -80,13 +118,15 @@
     std::map<service_id, service_part> made = this->parts_at(change.to);
     bool const is_whole = change.base == generation{};
     for (auto& [id, part] : made) {
-        auto const old = this->parts.find(id);
-        bool const same =
-            old != this->parts.end() && old->second.targets == part.targets;
-        if (same)
-            part.changed_at = old->second.changed_at;
-        if (!same || is_whole)
+        if (is_whole) {
             change.parts.push_back(part);
+            continue;
+        }
+        auto const old = this->parts.find(id);
+        service_delta const delta = detail::delta_between(
+            old == this->parts.end() ? service_part{} : old->second, part);
+        if (!delta.changed.empty() || !delta.gone.empty())
+            change.deltas.push_back(delta);
     }
     for (auto const& [id, part] : this->parts)
         if (!made.contains(id) && !is_whole)
@@ -96,12 +136,15 @@
 
 // The operator's versions only grow; an older one would be a step back.
 void published_set::replace_routes(published_routes const& what,
-                                   generation upto)
+                                   catalog_change& change)
 {
     if (what.version <= this->routes_version)
         return;
     this->routes_version = what.version;
-    this->routes = {upto, sorted(what.routes), what.idle_lifetime};
+    routes_part const next{change.to, sorted(what.routes), what.idle_lifetime};
+    if (change.base != generation{})
+        change.route_delta = detail::delta_between(this->routes, next);
+    this->routes = next;
 }
 
 catalog_change published_set::change_to(publication const& what)
@@ -112,8 +155,8 @@
     this->revision = std::max(this->revision, what.upto);
     this->replace_parts(change);
     if (what.routes)
-        this->replace_routes(*what.routes, what.upto);
-    if (what.is_whole || this->routes.changed_at == what.upto)
+        this->replace_routes(*what.routes, change);
+    if (what.is_whole)
         change.routes = this->routes;
     std::uint64_t sum = digest_of(fleet_part{}).value;
     for (auto const& [id, part] : this->parts)
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -58,6 +58,14 @@
     auto operator<=>(publication const&) const = default;
 };
 
+namespace detail {
+
+// What leads from the old contents to the next; both are sorted.
+service_delta delta_between(service_part const& old, service_part const& next);
+routes_delta delta_between(routes_part const& old, routes_part const& next);
+
+}  // namespace detail
+
 // ---- published_set ------------------------------------------------------
 
 class published_set
@@ -77,7 +85,7 @@
     std::map<service_id, service_part> parts_at(generation upto) const;
     catalog_change change_to(publication const& what);
     void replace_parts(catalog_change& change);
-    void replace_routes(published_routes const& what, generation upto);
+    void replace_routes(published_routes const& what, catalog_change& change);
 
     generation revision = {};
     std::uint64_t routes_version = 0;
--- a/src/documents/documents.cpp
+++ b/src/documents/documents.cpp
@@ -128,6 +128,36 @@
     return value;
 }
 
+Json::Value json_of(std::vector<service_delta> const& deltas)
+{
+    Json::Value all{Json::arrayValue};
+    for (service_delta const& delta : deltas) {
+        Json::Value value{Json::objectValue};
+        value["name"] = delta.name;
+        value["changed"] = Json::Value{Json::arrayValue};
+        for (target_record const& target : delta.changed)
+            value["changed"].append(json_of(target));
+        value["gone"] = Json::Value{Json::arrayValue};
+        for (target_id const id : delta.gone)
+            value["gone"].append(hex_of(id.value));
+        all.append(value);
+    }
+    return all;
+}
+
+Json::Value json_of(routes_delta const& delta)
+{
+    Json::Value value{Json::objectValue};
+    value["idle_lifetime_us"] = json_of(delta.idle_lifetime);
+    value["changed"] = Json::Value{Json::arrayValue};
+    for (route_record const& route : delta.changed)
+        value["changed"].append(json_of(route));
+    value["gone"] = Json::Value{Json::arrayValue};
+    for (peer_address const& address : delta.gone)
+        value["gone"].append(to_text(address));
+    return value;
+}
+
 Json::Value json_of(part_change const& change)
 {
     Json::Value value{Json::objectValue};
@@ -317,10 +347,33 @@
     return {version, read_part_changes(checker, object, "parts")};
 }
 
+service_delta read_delta(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"name", "changed", "gone"});
+    std::string const name = checker.text(object, "name");
+    service_delta delta{service_named(name), name, {}, {}};
+    for (json_place const& item : checker.list(object, "changed"))
+        delta.changed.push_back(read_target(checker, item));
+    for (json_place const& item : checker.list(object, "gone"))
+        delta.gone.push_back({read_caller(checker, item).value});
+    return delta;
+}
+
+routes_delta read_route_delta(json_checker& checker, json_place const& object)
+{
+    checker.only(object, {"idle_lifetime_us", "changed", "gone"});
+    routes_delta delta{{}, {}, read_span(checker, object, "idle_lifetime_us")};
+    for (json_place const& item : checker.list(object, "changed"))
+        delta.changed.push_back(read_route(checker, item));
+    for (json_place const& item : checker.list(object, "gone"))
+        delta.gone.push_back(checker.item_address(item));
+    return delta;
+}
+
 catalog_change read_change(json_checker& checker, json_place const& object)
 {
     checker.only(object, {"generation", "digest", "base", "parts", "removed",
-                          "fleet", "routes"});
+                          "fleet", "routes", "deltas", "route_delta"});
     catalog_version const version = read_version(checker, object);
     generation const base =
         read_generation(checker, object, "base", {0, INT64_MAX});
@@ -336,8 +389,16 @@
     std::optional<routes_part> routes;
     if (checker.has(object, "routes"))
         routes = read_routes(checker, checker.object(object, "routes"));
-    return {base,    version.number, version.content, parts,
-            removed, fleet,          routes};
+    std::vector<service_delta> deltas;
+    if (checker.has(object, "deltas"))
+        for (json_place const& item : checker.list(object, "deltas"))
+            deltas.push_back(read_delta(checker, item));
+    std::optional<routes_delta> route_delta;
+    if (checker.has(object, "route_delta"))
+        route_delta =
+            read_route_delta(checker, checker.object(object, "route_delta"));
+    return {base,  version.number, version.content, parts,      removed,
+            fleet, routes,         deltas,          route_delta};
 }
 
 }  // namespace
@@ -383,6 +444,10 @@
         value["fleet"] = json_of(*change.fleet);
     if (change.routes)
         value["routes"] = json_of(*change.routes);
+    if (!change.deltas.empty())
+        value["deltas"] = json_of(change.deltas);
+    if (change.route_delta)
+        value["route_delta"] = json_of(*change.route_delta);
     return render(value);
 }
 
--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -40,7 +40,8 @@
 
 using connection_entry_event =
     std::variant<packet_from_caller, answer_from_target, digest_packet,
-                 change_arrived, change_missed, clock_tick, stop_asked>;
+                 news_packet, change_request_packet, change_arrived,
+                 change_missed, clock_tick, stop_asked>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -64,6 +65,7 @@
     refused,      // reset: no target can serve it in time, and it has not run
     no_route,     // reset: the configuration has no such address
     held,         // no target is known or answers: tried again shortly
+    outdated,     // dropped: it waited while this process stood still
     dropped,      // held as long as makes sense; the caller repeats itself
     owner_found,  // a packet of an open connection, after a search
     owner_lost,   // dropped: no target knows the connection
@@ -104,9 +106,9 @@
 };
 
 using connection_entry_effect =
-    std::variant<send_offer, reset_caller, send_digest, fetch_from_peer,
-                 read_platform, generation_adopted, note_failure,
-                 placement_note, belief_note>;
+    std::variant<send_offer, reset_caller, send_digest, send_news,
+                 fetch_from_peer, read_platform, generation_adopted,
+                 note_failure, placement_note, belief_note>;
 using connection_entry_effects = std::vector<connection_entry_effect>;
 
 // ---- connection_entry ---------------------------------------------------
@@ -163,6 +165,10 @@
                   time_point now);
     void on_event(effects_type& effects, digest_packet const& event,
                   time_point now);
+    void on_event(effects_type& effects, news_packet const& event,
+                  time_point now);
+    void on_event(effects_type& effects, change_request_packet const& event,
+                  time_point now);
     void on_event(effects_type& effects, change_arrived const& event,
                   time_point now);
     void on_event(effects_type& effects, change_missed const& event,
@@ -189,7 +195,10 @@
     void take(effects_type& effects, owner_found const& what, time_point now);
     void take(effects_type& effects, placing_failed const& what,
               time_point now);
+    void changed(effects_type& effects, catalog_version const& before,
+                 time_point now);
     void held_are_due(time_point now);
+    bool stood_still(time_point now) const;
     void release_held(effects_type& effects, time_point now);
     void watch_platform(effects_type& effects, time_point now);
     void pass_on(effects_type& effects, owner_record const& owner,
@@ -206,6 +215,7 @@
     placer<P> placing;
     std::deque<held_packet> held = {};
     bool reached_platform = false;
+    bool is_waking = false;  // paused a moment ago, nothing compared since
     bool owners_full = false;
     bool stopping = false;
     time_point last_tick;
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -79,6 +79,9 @@
 std::optional<time_point> connection_entry<R, P>::next_due() const
 {
     std::optional<time_point> due = this->placing.next_due();
+    if (std::optional<time_point> const read =
+            this->member.next_due(this->known))
+        due = std::min(due.value_or(*read), *read);
     if (!this->held.empty())
         due = std::min(due.value_or(this->held.front().due),
                        this->held.front().due);
@@ -176,7 +179,8 @@
 }
 
 // A process that starts, or has been paused, places nothing before it has
-// compared what it knows.
+// compared what it knows. What waited in its socket during a pause is of
+// callers that have repeated themselves or given up since.
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::place(effects_type& effects,
                                    connection_packet const& packet,
@@ -185,7 +189,11 @@
                                    time_point now)
 {
     if (!this->member.is_ready(this->known, now)) {
-        this->hold(effects, packet, arrived, now);
+        if (this->is_waking || this->stood_still(now))
+            effects.push_back(this->note(placement_result::outdated,
+                                         packet.ends, arrived, now));
+        else
+            this->hold(effects, packet, arrived, now);
         return;
     }
     route_record const* route = this->known.find_route(packet.ends.service);
@@ -406,11 +414,37 @@
 {
     catalog_version const before = this->known.version();
     take_change(effects, this->known, this->member, event, now);
+    this->changed(effects, before, now);
+    this->watch_platform(effects, now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      news_packet const& event, time_point now)
+{
+    catalog_version const before = this->known.version();
+    take_news(effects, this->known, this->member, event, now);
+    this->changed(effects, before, now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      change_request_packet const& event,
+                                      time_point now)
+{
+    detail::append(effects, this->member.asked(event.from, event.what.since,
+                                               this->known, now));
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::changed(effects_type& effects,
+                                     catalog_version const& before,
+                                     time_point now)
+{
     if (this->known.version() != before) {
         this->directory.update(this->known, now);
         this->held_are_due(now);
     }
-    this->watch_platform(effects, now);
     this->release_held(effects, now);
 }
 
@@ -419,7 +453,7 @@
                                       change_missed const& event,
                                       time_point now)
 {
-    this->member.unanswered(event.source, now);
+    this->member.unanswered(event.source, this->known, now);
     effects.push_back(note_failure{event.why});
     this->watch_platform(effects, now);
 }
@@ -449,11 +483,15 @@
 void connection_entry<R, P>::on_event(effects_type& effects, clock_tick const&,
                                       time_point now)
 {
-    if (now - this->last_tick > this->settings.member.pace.pause_gap)
+    if (this->stood_still(now)) {
         effects.push_back(
             belief_note{belief::paused, {}, now - this->last_tick});
+        this->is_waking = true;
+    }
     this->last_tick = now;
     detail::append(effects, this->member.tick(this->known, now));
+    if (this->member.is_ready(this->known, now))
+        this->is_waking = false;
     duration const age = this->member.platform_age(now);
     for (target_record const& gone : this->directory.tick(age, now))
         effects.push_back(belief_note{belief::target_lapsed, gone.name, age});
@@ -463,6 +501,12 @@
     this->hints.sweep(now);
 }
 
+template <random_source R, placement_policy P>
+bool connection_entry<R, P>::stood_still(time_point now) const
+{
+    return now - this->last_tick > this->settings.member.pace.pause_gap;
+}
+
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::on_event(effects_type&, stop_asked const&,
                                       time_point)
--- a/src/entry/entry.hpp
+++ b/src/entry/entry.hpp
@@ -35,8 +35,8 @@
 };
 
 using entry_event =
-    std::variant<caller_packet, target_packet, digest_packet, change_arrived,
-                 change_missed, clock_tick, stop_asked>;
+    std::variant<caller_packet, target_packet, digest_packet, news_packet,
+                 change_arrived, change_missed, clock_tick, stop_asked>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -55,9 +55,9 @@
     bool operator==(send_to_caller const&) const = default;
 };
 
-using entry_effect =
-    std::variant<send_inward, send_to_caller, send_digest, fetch_from_peer,
-                 read_platform, generation_adopted, note_failure>;
+using entry_effect = std::variant<send_inward, send_to_caller, send_digest,
+                                  send_news, fetch_from_peer, read_platform,
+                                  generation_adopted, note_failure>;
 using entry_effects = std::vector<entry_effect>;
 
 // ---- entry --------------------------------------------------------------
@@ -77,6 +77,7 @@
     entry_effects on_event(caller_packet const& event, time_point now);
     entry_effects on_event(target_packet const& event, time_point now);
     entry_effects on_event(digest_packet const& event, time_point now);
+    entry_effects on_event(news_packet const& event, time_point now);
     entry_effects on_event(change_arrived const& event, time_point now);
     entry_effects on_event(change_missed const& event, time_point now);
     entry_effects on_event(clock_tick const& event, time_point now);
--- a/src/entry/entry.ipp
+++ b/src/entry/entry.ipp
@@ -181,6 +181,14 @@
     return effects;
 }
 
+template <random_source R>
+entry_effects entry<R>::on_event(news_packet const& event, time_point now)
+{
+    entry_effects effects;
+    take_news(effects, this->known, this->member, event, now);
+    return effects;
+}
+
 template <random_source R>
 entry_effects entry<R>::on_event(change_arrived const& event, time_point now)
 {
@@ -192,7 +200,7 @@
 template <random_source R>
 entry_effects entry<R>::on_event(change_missed const& event, time_point now)
 {
-    this->member.unanswered(event.source, now);
+    this->member.unanswered(event.source, this->known, now);
     return {note_failure{event.why}};
 }
 
--- a/src/membership/adoption.hpp
+++ b/src/membership/adoption.hpp
@@ -5,6 +5,7 @@
 //   events        what reaches every process, whatever its role
 //   effects       what adoption asks of the surroundings
 //   take_change   adopts and appends the effects
+//   take_news     the same for what a peer sends unasked
 #pragma once
 
 #include "membership/membership.hpp"
@@ -23,6 +24,20 @@
     auto operator<=>(digest_packet const&) const = default;
 };
 
+struct news_packet
+{
+    peer_address from = {};
+    peer_news what = {};
+    bool operator==(news_packet const&) const = default;
+};
+
+struct change_request_packet
+{
+    peer_address from = {};
+    change_request what = {};
+    auto operator<=>(change_request_packet const&) const = default;
+};
+
 struct change_arrived
 {
     change_source source = change_source::peer;
@@ -88,7 +103,7 @@
 {
     if (!event.change) {
         detail::append(effects,
-                       member.answered(event.source, false, known, now));
+                       member.answered(event.source, nullptr, known, now));
         return;
     }
     failure last;
@@ -102,11 +117,40 @@
     bool const can_ask_whole = event.source == change_source::peer &&
                                event.change->base != generation{};
     if (misfit && can_ask_whole) {
-        detail::append(effects, member.conflicted(event.control, now));
+        detail::append(effects, member.conflicted({}, event.control, now));
         return;
     }
-    detail::append(effects, member.answered(event.source, adopted.has_value(),
+    detail::append(effects, member.answered(event.source,
+                                            adopted ? &*event.change : nullptr,
                                             known, now));
 }
 
+// ---- take_news ----------------------------------------------------------
+
+// A peer's news with what changed. Where the change doesn't fit, the digest
+// leads to a question for what does.
+template <class Effects, random_source R>
+void take_news(Effects& effects, catalog& known, membership<R>& member,
+               news_packet const& event, time_point now)
+{
+    failure last;
+    catalog_change const& change = event.what.change;
+    std::optional<catalog_version> const adopted = known.adopt(change, last);
+    if (adopted) {
+        effects.push_back(generation_adopted{*adopted});
+        detail::append(effects, member.pass_on(change, known, now));
+    }
+    bool const misfit = !adopted && last.why == reason::conflict &&
+                        change.base != generation{} &&
+                        change.base <= known.version().number;
+    if (misfit) {
+        effects.push_back(note_failure{last});
+        detail::append(
+            effects,
+            member.conflicted(event.from, event.what.digest.control, now));
+    }
+    detail::append(effects,
+                   member.heard(event.from, event.what.digest, known, now));
+}
+
 }  // namespace lagoon
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -30,10 +30,10 @@
 struct membership_pace
 {
     duration exchange_interval = std::chrono::seconds{1};  // between digests
-    std::size_t news_fan_out = 4;  // peers told at once of news
-    duration fetch_timeout = std::chrono::seconds{1};   // of a peer's answer
-    duration watch_lifetime = std::chrono::seconds{2};  // one watch
-    duration read_timeout = std::chrono::seconds{2};    // one read
+    std::size_t news_fan_out = 4;     // peers told at once of own news
+    std::size_t pass_on_fan_out = 4;  // peers told of news that came unasked
+    duration fetch_timeout = std::chrono::seconds{1};  // of a peer's answer
+    duration read_timeout = std::chrono::seconds{2};   // one read
 
     // A gap between two ticks that shows that the process was paused.
     duration pause_gap = std::chrono::seconds{2};
@@ -76,10 +76,18 @@
     auto operator<=>(send_digest const&) const = default;
 };
 
+struct send_news
+{
+    peer_address to = {};
+    peer_news what = {};
+    bool operator==(send_news const&) const = default;
+};
+
 struct fetch_from_peer
 {
-    peer_address control = {};
-    generation since = {};  // 0 fetches the whole catalog
+    peer_address exchange = {};  // where the peer takes datagrams
+    peer_address control = {};   // where it answers JSON-RPC
+    generation since = {};       // 0 fetches the whole catalog
     duration timeout = {};
     auto operator<=>(fetch_from_peer const&) const = default;
 };
@@ -94,7 +102,7 @@
 };
 
 using membership_effect =
-    std::variant<send_digest, fetch_from_peer, read_platform>;
+    std::variant<send_digest, send_news, fetch_from_peer, read_platform>;
 using membership_effects = std::vector<membership_effect>;
 
 // Where a change came from.
@@ -115,25 +123,38 @@
     membership_effects heard(peer_address from, peer_digest const& what,
                              catalog const& known, time_point now);
 
-    // The answer to a fetch or a read arrived and the catalog took it in, or
-    // had nothing to gain from it. On a change the news is passed on.
-    membership_effects answered(change_source source, bool changed,
+    // The answer to a fetch or a read arrived, and the catalog adopted the
+    // change or had nothing to gain from it. News is passed on.
+    membership_effects answered(change_source source,
+                                catalog_change const* adopted,
                                 catalog const& known, time_point now);
 
+    // A peer's news came unasked, and the catalog adopted it.
+    membership_effects pass_on(catalog_change const& adopted,
+                               catalog const& known, time_point now);
+
     // A fetched change didn't lead to its digest: ask for the whole.
-    membership_effects conflicted(peer_address control, time_point now);
+    membership_effects conflicted(peer_address exchange, peer_address control,
+                                  time_point now);
 
     // A fetch or a read failed or timed out.
-    void unanswered(change_source source, time_point now);
+    void unanswered(change_source source, catalog const& known, time_point now);
 
     // Whether the platform answered this process's last read.
     bool reaches_platform() const;
 
     membership_effects tick(catalog const& known, time_point now);
 
+    // When a process without any configuration wants to read again.
+    std::optional<time_point> next_due(catalog const& known) const;
+
     // Model step `may_open`: whether new flows may be taken.
     bool is_ready(catalog const& known, time_point now) const;
 
+    // The answer to a peer's question.
+    membership_effects asked(peer_address from, generation since,
+                             catalog const& known, time_point now);
+
     // How old the freshest contact with the platform is, as far as known.
     duration platform_age(time_point now) const;
 
@@ -146,6 +167,8 @@
     std::vector<peer_address> some_peers();
     void greet(membership_effects& effects, catalog const& known,
                std::size_t peers, bool reply_wanted, time_point now);
+    membership_effects tell(catalog_change const& adopted, std::size_t peers,
+                            catalog const& known, time_point now);
     std::size_t rank(catalog const& known) const;
     void read_if_due(membership_effects& effects, catalog const& known,
                      time_point now);
@@ -161,7 +184,7 @@
     time_point platform_contact;  // estimated, own clock
     std::optional<time_point> fetching_since = {};
     std::optional<time_point> reading_since = {};
-    bool watching = false;
+    duration watching = {};    // how long the watch under way waits; 0: none
     time_point earliest_read;  // none before this
     std::optional<time_point> last_read = {};
     time_point waiting_since = {};   // start or end of a pause
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -104,7 +104,7 @@
         if (free) {
             this->fetching_since = now;
             effects.push_back(
-                fetch_from_peer{what.control, known.version().number,
+                fetch_from_peer{from, what.control, known.version().number,
                                 this->settings.pace.fetch_timeout});
         }
     } else {
@@ -118,10 +118,10 @@
 }
 
 template <random_source R>
-membership_effects membership<R>::answered(change_source source, bool changed,
+membership_effects membership<R>::answered(change_source source,
+                                           catalog_change const* adopted,
                                            catalog const& known, time_point now)
 {
-    membership_effects effects;
     if (source == change_source::platform) {
         this->reading_since.reset();
         this->platform_contact = now;
@@ -131,28 +131,67 @@
         this->fetching_since.reset();
         this->peer_compared = true;
     }
+    if (adopted != nullptr)
+        return this->tell(*adopted, this->settings.pace.news_fan_out, known,
+                          now);
     // A linearizable answer is news even where nothing changed: it tells how
     // fresh the present configuration is.
-    bool const is_news =
-        changed || (source == change_source::platform &&
-                    this->settings.pace.platform_is_linearizable);
-    if (is_news)
+    membership_effects effects;
+    if (source == change_source::platform &&
+        this->settings.pace.platform_is_linearizable)
         this->greet(effects, known, this->settings.pace.news_fan_out, false,
                     now);
     return effects;
 }
 
 template <random_source R>
-membership_effects membership<R>::conflicted(peer_address control,
+membership_effects membership<R>::pass_on(catalog_change const& adopted,
+                                          catalog const& known, time_point now)
+{
+    this->peer_compared = true;
+    this->fetching_since.reset();
+    return this->tell(adopted, this->settings.pace.pass_on_fan_out, known, now);
+}
+
+template <random_source R>
+membership_effects membership<R>::asked(peer_address from, generation since,
+                                        catalog const& known, time_point now)
+{
+    return {send_news{
+        from,
+        {this->own_digest(known, false, now), known.changes_since(since)}}};
+}
+
+// Whole parts are for those who ask.
+template <random_source R>
+membership_effects membership<R>::tell(catalog_change const& adopted,
+                                       std::size_t peers, catalog const& known,
+                                       time_point now)
+{
+    membership_effects effects;
+    if (!holds_records_alone(adopted)) {
+        this->greet(effects, known, peers, false, now);
+        return effects;
+    }
+    for (peer_address const& peer : this->pick_peers(known, peers))
+        effects.push_back(
+            send_news{peer, {this->own_digest(known, false, now), adopted}});
+    return effects;
+}
+
+template <random_source R>
+membership_effects membership<R>::conflicted(peer_address exchange,
+                                             peer_address control,
                                              time_point now)
 {
     this->fetching_since = now;
-    return {fetch_from_peer{control, generation{},
+    return {fetch_from_peer{exchange, control, generation{},
                             this->settings.pace.fetch_timeout}};
 }
 
 template <random_source R>
-void membership<R>::unanswered(change_source source, time_point now)
+void membership<R>::unanswered(change_source source, catalog const& known,
+                               time_point now)
 {
     if (source == change_source::peer) {
         this->fetching_since.reset();
@@ -164,7 +203,9 @@
     // would do.
     if (!this->settings.pace.platform_is_linearizable)
         this->platform_compared = true;
-    this->earliest_read = now + this->settings.pace.reading.step;
+    bool const has_none = known.version() == catalog_version{};
+    reading_pace const& pace = this->settings.pace.reading;
+    this->earliest_read = now + (has_none ? pace.retry : pace.step);
 }
 
 template <random_source R> bool membership<R>::reaches_platform() const
@@ -202,12 +243,10 @@
                                 catalog const& known, time_point now)
 {
     if (this->reading_since) {
-        duration const most =
-            this->settings.pace.read_timeout +
-            (this->watching ? this->settings.pace.watch_lifetime : duration{});
+        duration const most = this->settings.pace.read_timeout + this->watching;
         if (now - *this->reading_since < most)
             return;
-        this->unanswered(change_source::platform, now);
+        this->unanswered(change_source::platform, known, now);
     }
     reading_plan const plan = this->plan(known);
     bool const first = known.version() == catalog_version{};
@@ -217,17 +256,17 @@
     // The rank may have changed since the last read, and the interval with it.
     bool const too_soon =
         now < this->earliest_read ||
-        (this->last_read && now < *this->last_read + plan.interval);
+        (!first && this->last_read && now < *this->last_read + plan.interval);
     if (too_soon || !wanted)
         return;
     // The first read, and the first after a pause, doesn't wait for a change.
-    this->watching = plan.watches && !first && this->platform_compared;
+    bool const may_wait = plan.watches && !first && this->platform_compared;
+    this->watching = may_wait ? plan.watch : duration{};
     this->reading_since = now;
     this->last_read = now;
-    effects.push_back(read_platform{
-        known.version().number, this->watching,
-        this->watching ? this->settings.pace.watch_lifetime : duration{},
-        this->settings.pace.read_timeout});
+    effects.push_back(read_platform{known.version().number, may_wait,
+                                    this->watching,
+                                    this->settings.pace.read_timeout});
 }
 
 template <random_source R>
@@ -254,6 +293,15 @@
     return effects;
 }
 
+template <random_source R>
+std::optional<time_point> membership<R>::next_due(catalog const& known) const
+{
+    bool const has_none = known.version() == catalog_version{};
+    if (!has_none || this->reading_since)
+        return std::nullopt;
+    return this->earliest_read;
+}
+
 // A peer alone may be as far behind as this process, and a platform that may
 // answer with old contents is no proof alone either: then it takes both, or a
 // peer with fresh news of the platform.
--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -16,8 +16,9 @@
 reading_plan plan_for_rank(std::size_t rank, reading_pace const& pace)
 {
     if (rank < pace.watchers)
-        return {true, pace.step};
-    return {false, pace.step * static_cast<std::int64_t>(rank + 1)};
+        return {true, pace.step,
+                rank == 0 ? pace.first_watch : pace.other_watch};
+    return {false, pace.step * static_cast<std::int64_t>(rank + 1), {}};
 }
 
 std::size_t reader_rank(fleet_part const& fleet, process_id self,
--- a/src/membership/readers.hpp
+++ b/src/membership/readers.hpp
@@ -26,13 +26,22 @@
     duration news_lifetime = std::chrono::seconds{20};
     duration step = std::chrono::seconds{1};
 
+    // How long a watch waits. The first watcher's short one shows that it
+    // still reaches the platform; those behind it are there for its end.
+    duration first_watch = std::chrono::seconds{2};
+    duration other_watch = std::chrono::seconds{2};
+
+    // A process without any configuration tries again this soon.
+    duration retry = std::chrono::seconds{1};
+
     auto operator<=>(reading_pace const&) const = default;
 };
 
 struct reading_plan
 {
     bool watches = false;    // holds a waiting watch all the time
-    duration interval = {};  // least time between two reads otherwise
+    duration interval = {};  // least time between two reads
+    duration watch = {};     // how long a watch waits
     auto operator<=>(reading_plan const&) const = default;
 };
 
--- a/src/programs/connection_entry_program.hpp
+++ b/src/programs/connection_entry_program.hpp
@@ -13,8 +13,7 @@
 #include "loop/signals.hpp"
 #include "programs/connection_log.hpp"
 #include "programs/connection_settings.hpp"
-#include "programs/control_link.hpp"
-#include "telemetry/status.hpp"
+#include "programs/platform_link.hpp"
 #include "wire/codec.hpp"
 
 namespace lagoon {
@@ -51,9 +50,11 @@
     void feed(connection_entry_event const& event);
     void feed(control_events const& events);
     void take_peer_packet(peer_address from, std::string_view bytes);
+    void take_message(peer_address from, datagram const& packet);
     void perform(send_offer const& effect);
     void perform(reset_caller const& effect);
     void perform(send_digest const& effect);
+    void perform(send_news const& effect);
     void perform(fetch_from_peer const& effect);
     void perform(read_platform const& effect);
     void perform(generation_adopted const& effect);
@@ -61,16 +62,15 @@
     void perform(placement_note const& effect);
     void perform(belief_note const& effect);
     http_reply reply_to(http_request const& request);
-    process_status status() const;
 
     entry_process_settings settings;
     part_log log{"entry"};
-    time_point started;
     loop_type loop;
     connection_entry<seeded_random> role;
-    control_link<loop_type, Reader> control;
-    rpc_server rpc;
+    platform_link<loop_type, Reader> published;
     connection_metrics metrics = {};
+    reassembly pieces = {};
+    std::uint32_t last_message = 0;  // number of the latest large message
     std::uint64_t packets = 0;
     time_point last_packet = {};  // of a caller
     std::optional<time_point> stopping_since = {};
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -23,14 +23,16 @@
     return {.exchange_interval = std::chrono::milliseconds{500},
             .news_fan_out = 8,
             .fetch_timeout = std::chrono::milliseconds{400},
-            .watch_lifetime = limit / 2,
             .read_timeout = std::chrono::milliseconds{600},
             .pause_gap = std::chrono::milliseconds{1000},
             .first_read_delay = duration{},
             .news_wait = std::chrono::milliseconds{1000},
             .reading = {.watchers = 2,
                         .news_lifetime = limit * 2 / 3,
-                        .step = std::chrono::milliseconds{100}},
+                        .step = std::chrono::milliseconds{250},
+                        .first_watch = limit / 2,
+                        .other_watch = limit * 3,
+                        .retry = std::chrono::milliseconds{120}},
             .platform_is_linearizable = true};
 }
 
@@ -45,7 +47,6 @@
     role.member = {.self = process_named(settings.name),
                    .data_centre = settings.data_centre,
                    .exchange = settings.exchange,
-                   .control = settings.control,
                    .seeds = seeds,
                    .pace = pace_for(settings.change_limit)};
     return role;
@@ -56,25 +57,13 @@
 template <packet_format Format, platform_reader Reader>
 connection_entry_program<Format, Reader>::connection_entry_program(
     entry_process_settings const& settings, Reader reader)
-    : settings(settings), started(read_clock()),
-      loop(*this, {{settings.ready, settings.control, settings.metrics},
-                   detail::entry_tick,
-                   detail::connection_read_buffer,
-                   detail::connection_descriptors}),
+    : settings(settings), loop(*this, {{settings.ready, settings.metrics},
+                                       detail::entry_tick,
+                                       detail::connection_read_buffer,
+                                       detail::connection_descriptors}),
       role(detail::role_settings(settings), seeded_random{random_word()},
-           this->started),
-      control(this->loop, settings.platform, std::move(reader)),
-      rpc({this,
-           [](void* self) {
-               return write_status(
-                   static_cast<connection_entry_program*>(self)->status());
-           },
-           [](void* self, unsigned long long since) {
-               return write_document(
-                   static_cast<connection_entry_program*>(self)
-                       ->role.configuration()
-                       .changes_since({since}));
-           }})
+           read_clock()),
+      published(this->loop, settings.platform, std::move(reader))
 {
     this->log.set_budget(settings.log.lines_per_second);
 }
@@ -83,8 +72,8 @@
 bool connection_entry_program<Format, Reader>::open(failure& last)
 {
     if (!this->loop.is_open()) {
-        last = {step::read_settings, reason::unreachable,
-                this->settings.control, "a TCP address can't be bound"};
+        last = {step::read_settings, reason::unreachable, this->settings.ready,
+                "a TCP address can't be bound"};
         return false;
     }
     std::optional<udp_socket> const callers =
@@ -192,14 +181,34 @@
     peer_address from, std::string_view bytes)
 {
     failure last;
-    std::optional<datagram> const packet = decode_packet(bytes, from, last);
-    if (!packet) {
-        this->perform(note_failure{last});
-        return;
+    std::optional<datagram> packet = decode_packet(bytes, from, last);
+    packet_fragment const* part =
+        packet ? std::get_if<packet_fragment>(&*packet) : nullptr;
+    if (part != nullptr) {
+        std::optional<std::string> const whole =
+            this->pieces.take(from, *part, read_clock());
+        if (!whole)
+            return;
+        packet = decode_message(*whole, from, last);
     }
-    if (auto const* digest = std::get_if<peer_digest>(&*packet))
+    if (packet)
+        this->take_message(from, *packet);
+    else
+        this->perform(note_failure{last});
+}
+
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::take_message(
+    peer_address from, datagram const& packet)
+{
+    if (auto const* digest = std::get_if<peer_digest>(&packet))
         this->feed(connection_entry_event{digest_packet{from, *digest}});
-    else if (auto const* answer = std::get_if<offer_answer>(&*packet))
+    else if (auto const* news = std::get_if<peer_news>(&packet))
+        this->feed(connection_entry_event{news_packet{from, *news}});
+    else if (auto const* request = std::get_if<change_request>(&packet))
+        this->feed(
+            connection_entry_event{change_request_packet{from, *request}});
+    else if (auto const* answer = std::get_if<offer_answer>(&packet))
         this->feed(connection_entry_event{answer_from_target{
             from, *answer, Format::parse_from_caller(answer->bytes)}});
     else
@@ -239,7 +248,7 @@
                            static_cast<double>(this->role.connections()))
                     .take(),
                 0};
-    return answer_rpc(this->rpc, request);
+    return {404, "text/plain", "GET /ready or /metrics\n", 0};
 }
 
 template <packet_format Format, platform_reader Reader>
@@ -253,16 +262,16 @@
 void connection_entry_program<Format, Reader>::on_http_bytes(
     exchange_id exchange, std::string_view bytes)
 {
-    if (this->control.owns(exchange))
-        this->control.take_bytes(exchange, bytes);
+    if (this->published.owns(exchange))
+        this->published.take_bytes(exchange, bytes);
 }
 
 template <packet_format Format, platform_reader Reader>
 void connection_entry_program<Format, Reader>::on_http_end(
     exchange_id exchange, http_result const& result)
 {
-    if (this->control.owns(exchange))
-        this->feed(this->control.ended(exchange, result));
+    if (this->published.owns(exchange))
+        this->feed(this->published.ended(exchange, result));
 }
 
 // ---- effects ------------------------------------------------------------
@@ -290,18 +299,27 @@
     this->loop.send(peer_lane, effect.to, encode_packet(effect.what));
 }
 
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::perform(send_news const& effect)
+{
+    for (std::string const& part :
+         datagrams_of(encode_packet(effect.what), ++this->last_message))
+        this->loop.send(peer_lane, effect.to, part);
+}
+
 template <packet_format Format, platform_reader Reader>
 void connection_entry_program<Format, Reader>::perform(
     fetch_from_peer const& effect)
 {
-    this->control.fetch(effect);
+    this->loop.send(peer_lane, effect.exchange,
+                    encode_packet(change_request{effect.since}));
 }
 
 template <packet_format Format, platform_reader Reader>
 void connection_entry_program<Format, Reader>::perform(
     read_platform const& effect)
 {
-    this->feed(this->control.read(effect));
+    this->feed(this->published.read(effect));
 }
 
 template <packet_format Format, platform_reader Reader>
@@ -337,20 +355,4 @@
     write_note(this->log, effect);
 }
 
-template <packet_format Format, platform_reader Reader>
-process_status connection_entry_program<Format, Reader>::status() const
-{
-    time_point const now = read_clock();
-    return {.name = this->settings.name,
-            .role = "entry",
-            .data_centre = this->settings.data_centre,
-            .version = this->role.configuration().version(),
-            .ready = this->role.is_ready(now),
-            .leaving = this->stopping_since.has_value(),
-            .platform_age = this->role.platform_age(now),
-            .up = now - this->started,
-            .flows = this->role.connections(),
-            .packets = this->packets};
-}
-
 }  // namespace lagoon
--- a/src/programs/connection_log.cpp
+++ b/src/programs/connection_log.cpp
@@ -13,6 +13,8 @@
         return "no_route";
     case placement_result::held:
         return "held";
+    case placement_result::outdated:
+        return "outdated";
     case placement_result::dropped:
         return "dropped";
     case placement_result::owner_found:
@@ -32,8 +34,8 @@
         return "admitted";
     case tracking_result::queued:
         return "queued";
-    case tracking_result::started:
-        return "started";
+    case tracking_result::dequeued:
+        return "dequeued";
     case tracking_result::refused:
         return "refused";
     case tracking_result::request:
@@ -101,7 +103,7 @@
 void connection_metrics::count(tracking_note const& note)
 {
     ++this->trackings[static_cast<std::size_t>(note.result)];
-    if (note.result == tracking_result::started)
+    if (note.result == tracking_result::dequeued)
         this->waited.add(note.took);
     if (note.result == tracking_result::answered)
         this->running.add(note.took);
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -34,7 +34,7 @@
     peer_address ready = {};               // TCP, GET /ready
     peer_address metrics = {};             // TCP, GET /metrics
     peer_address platform = {};            // TCP, HTTP
-    std::vector<peer_address> seeds = {};  // control addresses of peers
+    std::vector<peer_address> seeds = {};  // peers; just their IPs count
     duration change_limit = {};  // a change must be in force after this
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
--- a/src/programs/entry_main.cpp
+++ b/src/programs/entry_main.cpp
@@ -3,9 +3,9 @@
 
 int main(int count, char** arguments)
 {
-    return lagoon::run_process(count, arguments, {"lagoon-entry", {}},
-                               lagoon::parse_entry_settings,
-                               [](lagoon::entry_settings const& settings) {
-                                   return lagoon::entry_program{settings};
-                               });
+    lagoon::run_process(count, arguments, {"lagoon-entry", {}},
+                        lagoon::parse_entry_settings,
+                        [](lagoon::entry_settings const& settings) {
+                            return lagoon::entry_program{settings};
+                        });
 }
--- a/src/programs/entry_program.cpp
+++ b/src/programs/entry_program.cpp
@@ -23,8 +23,7 @@
     : settings(settings), started(read_clock()),
       loop(*this, {{settings.process.control}, std::chrono::milliseconds{100}}),
       role(peers_of(settings), seeded_random{random_word()}, this->started),
-      control(this->loop, settings.process.platform,
-              documents_reader{settings.process.platform}),
+      control(this->loop, settings.process.platform),
       rpc({this,
            [](void* self) {
                return write_status(static_cast<entry_program*>(self)->status());
@@ -117,6 +116,8 @@
     } else if (by == exchange_lane) {
         if (auto const* what = std::get_if<peer_digest>(&packet))
             return digest_packet{from, *what};
+        if (auto const* news = std::get_if<peer_news>(&packet))
+            return news_packet{from, *news};
     } else if (auto const* outward = std::get_if<outward_packet>(&packet)) {
         return target_packet{from, *outward};
     }
@@ -189,6 +190,13 @@
     this->loop.send(exchange_lane, effect.to, encode_packet(effect.what));
 }
 
+// Peers pull what changed over JSON-RPC.
+void entry_program::perform(send_news const& effect)
+{
+    this->loop.send(exchange_lane, effect.to,
+                    encode_packet(effect.what.digest));
+}
+
 void entry_program::perform(fetch_from_peer const& effect)
 {
     this->control.fetch(effect);
--- a/src/programs/entry_program.hpp
+++ b/src/programs/entry_program.hpp
@@ -50,6 +50,7 @@
     void perform(send_inward const& effect);
     void perform(send_to_caller const& effect);
     void perform(send_digest const& effect);
+    void perform(send_news const& effect);
     void perform(fetch_from_peer const& effect);
     void perform(read_platform const& effect);
     void perform(generation_adopted const& effect);
--- a/src/programs/main.hpp
+++ b/src/programs/main.hpp
@@ -1,7 +1,7 @@
 // The short main that all processes share.
 //
 // Index
-//   run_process   parse, check, open, run; returns the exit code
+//   run_process   parse, check, open, run; ends with the exit code
 #pragma once
 
 #include "base/failure.hpp"
@@ -10,6 +10,7 @@
 #include "programs/settings.hpp"
 #include "telemetry/logging.hpp"
 
+#include <cstdlib>
 #include <iostream>
 #include <sodium.h>
 
@@ -19,9 +20,11 @@
 
 // `about` names the program and where its settings are looked for. `parse`
 // makes settings of a text, `make` a program of settings.
+namespace detail {
+
 template <class Parse, class Make>
-int run_process(int count, char** arguments, program_about const& about,
-                Parse parse, Make make)
+int run_to_end(int count, char** arguments, program_about const& about,
+               Parse parse, Make make)
 {
     int exit_code = exit_good;
     std::optional<process_start> const start =
@@ -53,4 +56,19 @@
     return program.was_cut_off() ? exit_cut_off : exit_good;
 }
 
+}  // namespace detail
+
+// Doesn't return. Libraries that wait for threads at their static end have
+// kept a stopped process alive until it was killed, so that end is left out.
+template <class Parse, class Make>
+[[noreturn]] void run_process(int count, char** arguments,
+                              program_about const& about, Parse parse,
+                              Make make)
+{
+    int const code = detail::run_to_end(count, arguments, about, parse, make);
+    std::cout.flush();
+    flush_logs();
+    std::quick_exit(code);
+}
+
 }  // namespace lagoon
--- a/src/programs/target_main.cpp
+++ b/src/programs/target_main.cpp
@@ -3,9 +3,9 @@
 
 int main(int count, char** arguments)
 {
-    return lagoon::run_process(count, arguments, {"lagoon-target", {}},
-                               lagoon::parse_slot_settings,
-                               [](lagoon::slot_settings const& settings) {
-                                   return lagoon::target_program{settings};
-                               });
+    lagoon::run_process(count, arguments, {"lagoon-target", {}},
+                        lagoon::parse_slot_settings,
+                        [](lagoon::slot_settings const& settings) {
+                            return lagoon::target_program{settings};
+                        });
 }
--- a/src/programs/target_program.cpp
+++ b/src/programs/target_program.cpp
@@ -40,8 +40,7 @@
       loop(*this, {{settings.process.control}, std::chrono::milliseconds{20}}),
       role(role_settings(settings), peers_of(settings),
            seeded_random{random_word()}, this->started),
-      control(this->loop, settings.process.platform,
-              documents_reader{settings.process.platform}),
+      control(this->loop, settings.process.platform),
       rpc({this,
            [](void* self) {
                return write_status(
@@ -126,6 +125,8 @@
         this->feed(target_event{inward_arrived{from, *inward}});
     else if (auto const* what = std::get_if<peer_digest>(&*packet))
         this->feed(target_event{digest_packet{from, *what}});
+    else if (auto const* news = std::get_if<peer_news>(&*packet))
+        this->feed(target_event{news_packet{from, *news}});
     else
         this->perform(note_failure{
             {step::decode_packet, reason::unsupported, from, "wrong socket"}});
@@ -241,6 +242,12 @@
     this->loop.send(packet_lane, effect.to, encode_packet(effect.what));
 }
 
+// Peers pull what changed over JSON-RPC.
+void target_program::perform(send_news const& effect)
+{
+    this->loop.send(packet_lane, effect.to, encode_packet(effect.what.digest));
+}
+
 void target_program::perform(fetch_from_peer const& effect)
 {
     this->control.fetch(effect);
--- a/src/programs/target_program.hpp
+++ b/src/programs/target_program.hpp
@@ -49,6 +49,7 @@
     void perform(cancel_run const& effect);
     void perform(request_settled const& effect);
     void perform(send_digest const& effect);
+    void perform(send_news const& effect);
     void perform(fetch_from_peer const& effect);
     void perform(read_platform const& effect);
     void perform(generation_adopted const& effect);
--- a/src/protocol/messages.hpp
+++ b/src/protocol/messages.hpp
@@ -20,6 +20,7 @@
 
 namespace lagoon {
 
+constexpr std::uint32_t wire_version = 1;        // of every datagram
 constexpr std::size_t segment_size = 1200;       // bytes of answer a packet
 constexpr std::size_t max_path_size = 200;       // bytes
 constexpr std::size_t max_body_size = 900;       // bytes
@@ -150,6 +151,22 @@
     auto operator<=>(peer_digest const&) const = default;
 };
 
+// Asks a peer for what changed after a generation; it answers with news.
+struct change_request
+{
+    generation since = {};  // 0 asks for the whole
+    auto operator<=>(change_request const&) const = default;
+};
+
+// News that come with what changed, so that the peer needs no question. Those
+// that don't fit a datagram go as a digest alone.
+struct peer_news
+{
+    peer_digest digest = {};
+    catalog_change change = {};
+    bool operator==(peer_news const&) const = default;
+};
+
 // ---- envelopes ----------------------------------------------------------
 
 using caller_message =
--- a/src/target/target.hpp
+++ b/src/target/target.hpp
@@ -81,9 +81,9 @@
     auto operator<=>(run_ended const&) const = default;
 };
 
-using target_event =
-    std::variant<inward_arrived, run_bytes, run_ended, digest_packet,
-                 change_arrived, change_missed, clock_tick, stop_asked>;
+using target_event = std::variant<inward_arrived, run_bytes, run_ended,
+                                  digest_packet, news_packet, change_arrived,
+                                  change_missed, clock_tick, stop_asked>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -131,8 +131,8 @@
 
 using target_effect =
     std::variant<send_outward, hand_over, start_run, cancel_run,
-                 request_settled, send_digest, fetch_from_peer, read_platform,
-                 generation_adopted, note_failure>;
+                 request_settled, send_digest, send_news, fetch_from_peer,
+                 read_platform, generation_adopted, note_failure>;
 using target_effects = std::vector<target_effect>;
 
 // ---- target -------------------------------------------------------------
@@ -180,6 +180,7 @@
     void on_event(run_bytes const& event, time_point now);
     void on_event(run_ended const& event, time_point now);
     void on_event(digest_packet const& event, time_point now);
+    void on_event(news_packet const& event, time_point now);
     void on_event(change_arrived const& event, time_point now);
     void on_event(change_missed const& event, time_point now);
     void on_event(clock_tick const& event, time_point now);
--- a/src/target/target.ipp
+++ b/src/target/target.ipp
@@ -612,6 +612,13 @@
                                                      this->known, now));
 }
 
+template <target_policy P>
+void target<P>::on_event(news_packet const& event, time_point now)
+{
+    take_news(this->effects, this->known, this->member, event, now);
+    this->watch_leaving(event.what.change, now);
+}
+
 template <target_policy P>
 void target<P>::on_event(change_arrived const& event, time_point now)
 {
@@ -625,9 +632,14 @@
 template <target_policy P>
 void target<P>::watch_leaving(catalog_change const& change, time_point now)
 {
+    auto const look_at = [this](service_id id) {
+        if (this->known.state_of(id, this->settings.self))
+            this->own_services.insert(id);
+    };
     for (service_part const& part : change.parts)
-        if (this->known.state_of(part.id, this->settings.self))
-            this->own_services.insert(part.id);
+        look_at(part.id);
+    for (service_delta const& delta : change.deltas)
+        look_at(delta.id);
     for (service_id const id : this->own_services) {
         std::optional<target_state> const state =
             this->known.state_of(id, this->settings.self);
@@ -642,7 +654,7 @@
 template <target_policy P>
 void target<P>::on_event(change_missed const& event, time_point now)
 {
-    this->member.unanswered(event.source, now);
+    this->member.unanswered(event.source, this->known, now);
     this->effects.push_back(note_failure{event.why});
 }
 
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -11,21 +11,22 @@
 #include "base/failure.hpp"
 #include "protocol/messages.hpp"
 #include "protocol/relay.hpp"
+#include "wire/fragments.hpp"
 
 #include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
+#include <vector>
 
 namespace lagoon {
 
 // ---- datagram -----------------------------------------------------------
 
-constexpr std::uint32_t wire_version = 1;
-
 using datagram =
     std::variant<caller_message, answer_message, inward_packet, outward_packet,
-                 peer_digest, packet_offer, offer_answer>;
+                 peer_digest, peer_news, change_request, packet_fragment,
+                 packet_offer, offer_answer>;
 
 // ---- encode_packet ------------------------------------------------------
 
@@ -34,12 +35,23 @@
 std::string encode_packet(inward_packet const& packet);
 std::string encode_packet(outward_packet const& packet);
 std::string encode_packet(peer_digest const& what);
+std::string encode_packet(peer_news const& news);  // of any size
+std::string encode_packet(change_request const& what);
+std::string encode_packet(packet_fragment const& part);
 std::string encode_packet(packet_offer const& offer);
 std::string encode_packet(offer_answer const& answer);
 
+// What goes on the wire for a message: itself, or its fragments.
+std::vector<std::string> datagrams_of(std::string const& packet,
+                                      std::uint32_t number);
+
 // ---- decode_packet ------------------------------------------------------
 
 std::optional<datagram> decode_packet(std::string_view bytes, peer_address from,
                                       failure& last);
 
+// The same for a message that was put together from fragments.
+std::optional<datagram> decode_message(std::string_view bytes,
+                                       peer_address from, failure& last);
+
 }  // namespace lagoon
--- /dev/null
+++ b/src/wire/fields.hpp
@@ -0,0 +1,322 @@
+// The primitive fields of our packets, on msgpack: every packet is an array
+// whose first field names its kind.
+//
+// Index
+//   packet_kind     which message a packet holds
+//   packet_writer   fields to bytes
+//   field_reader    bytes to fields; notes the first that doesn't fit
+#pragma once
+
+#include "flow/token.hpp"
+#include "protocol/messages.hpp"
+
+#include <boost/endian/conversion.hpp>
+
+#include <array>
+#include <cstring>
+#include <msgpack.hpp>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace lagoon {
+
+// ---- packet_kind --------------------------------------------------------
+
+enum class packet_kind : std::uint8_t
+{
+    open = 1,
+    submit = 2,
+    cancel = 3,
+    pull = 4,
+    acknowledge = 5,
+    close = 6,
+    opened = 16,
+    open_refused = 17,
+    status = 18,
+    segment = 19,
+    inward = 32,
+    outward = 33,
+    digest = 48,
+    news = 49,
+    change_request = 50,
+    fragment = 51,
+    offer = 64,
+    offer_answered = 65
+};
+
+constexpr std::size_t max_name_size = 200;      // bytes
+constexpr std::size_t max_list_size = 4096;     // items of a list
+constexpr std::size_t packed_address_size = 6;  // bytes: IP and port
+
+namespace detail {
+
+// ---- packet_writer ------------------------------------------------------
+
+class packet_writer
+{
+public:
+    void begin(std::uint32_t fields, packet_kind kind)
+    {
+        this->packer.pack_array(fields + 1);
+        this->put(static_cast<std::uint64_t>(kind));
+    }
+
+    void put(std::uint64_t value)
+    {
+        this->packer.pack_uint64(value);
+    }
+
+    void put(std::string_view text)
+    {
+        this->packer.pack_bin(static_cast<std::uint32_t>(text.size()));
+        this->packer.pack_bin_body(text.data(),
+                                   static_cast<std::uint32_t>(text.size()));
+    }
+
+    void put(duration value)
+    {
+        this->put(static_cast<std::uint64_t>(
+            std::max<std::int64_t>(value.count(), 0)));
+    }
+
+    void put(peer_address const& address)
+    {
+        this->put(std::uint64_t{address.ip});
+        this->put(std::uint64_t{address.port});
+    }
+
+    void put(flow_token const& token)
+    {
+        this->put(token.service.value);
+        this->put(token.target.value);
+        this->put(token.started.value);
+        this->put(token.flow.value);
+        this->put(static_cast<std::uint64_t>(token.issued));
+        this->put(
+            std::string_view{reinterpret_cast<char const*>(token.seal.data()),
+                             token.seal.size()});
+    }
+
+    void put(std::vector<peer_address> const& addresses)
+    {
+        std::string packed;
+        for (peer_address const& one : addresses) {
+            std::array<std::uint8_t, packed_address_size> bytes{};
+            boost::endian::store_big_u32(bytes.data(), one.ip);
+            boost::endian::store_big_u16(bytes.data() + 4, one.port);
+            packed.append(bytes.begin(), bytes.end());
+        }
+        this->put(std::string_view{packed});
+    }
+
+    void put_array(std::uint32_t fields)
+    {
+        this->packer.pack_array(fields);
+    }
+
+    void put_nothing()
+    {
+        this->packer.pack_nil();
+    }
+
+    // Each item by the `write` of its type.
+    template <class Item> void put_list(std::vector<Item> const& items)
+    {
+        this->put_array(static_cast<std::uint32_t>(items.size()));
+        for (Item const& item : items)
+            write(*this, item);
+    }
+
+    std::string take() const
+    {
+        return {this->buffer.data(), this->buffer.size()};
+    }
+
+    packet_writer()
+    {
+        this->packer.pack_array(2);
+        this->put(std::uint64_t{wire_version});
+    }
+
+private:
+    msgpack::sbuffer buffer{512};
+    msgpack::packer<msgpack::sbuffer> packer{this->buffer};
+};
+
+// A packet of one message, by the `write` of its type.
+template <class Message> std::string encode(Message const& message)
+{
+    packet_writer writer;
+    write(writer, message);
+    return writer.take();
+}
+
+// ---- field_reader -------------------------------------------------------
+
+// Reads the fields of one array in order. After the first field that doesn't
+// fit, everything reads as empty and `good` is false.
+class field_reader
+{
+public:
+    explicit field_reader(msgpack::object const& from)
+    {
+        this->good = from.type == msgpack::type::ARRAY;
+        if (this->good)
+            this->fields = from.via.array;
+    }
+
+    std::uint64_t number(std::uint64_t most = UINT64_MAX)
+    {
+        msgpack::object const* field = this->next();
+        if (field == nullptr ||
+            field->type != msgpack::type::POSITIVE_INTEGER ||
+            field->via.u64 > most) {
+            this->good = false;
+            return 0;
+        }
+        return field->via.u64;
+    }
+
+    std::string_view bytes(std::size_t most)
+    {
+        msgpack::object const* field = this->next();
+        if (field == nullptr || field->type != msgpack::type::BIN ||
+            field->via.bin.size > most) {
+            this->good = false;
+            return {};
+        }
+        return {field->via.bin.ptr, field->via.bin.size};
+    }
+
+    duration span()
+    {
+        constexpr std::uint64_t longest = INT64_MAX / 4;  // microseconds
+        return duration{static_cast<std::int64_t>(this->number(longest))};
+    }
+
+    peer_address address()
+    {
+        auto const ip = static_cast<std::uint32_t>(this->number(UINT32_MAX));
+        auto const port = static_cast<std::uint16_t>(this->number(UINT16_MAX));
+        return {ip, port};
+    }
+
+    std::vector<peer_address> addresses(std::size_t most)
+    {
+        std::string_view packed = this->bytes(most * packed_address_size);
+        std::vector<peer_address> all;
+        for (; packed.size() >= packed_address_size;
+             packed.remove_prefix(packed_address_size)) {
+            auto const* at =
+                reinterpret_cast<unsigned char const*>(packed.data());
+            all.push_back({boost::endian::load_big_u32(at),
+                           boost::endian::load_big_u16(at + 4)});
+        }
+        this->good = this->good && packed.empty();
+        return all;
+    }
+
+    flow_token token()
+    {
+        service_id const service{this->number()};
+        target_id const target{this->number()};
+        epoch const started{this->number()};
+        flow_key const flow{this->number()};
+        auto const issued = static_cast<std::int64_t>(this->number(INT64_MAX));
+        std::string_view const seal = this->bytes(token_seal_size);
+        flow_token token{service, target, started, flow, issued, {}};
+        if (seal.size() == token_seal_size)
+            std::memcpy(token.seal.data(), seal.data(), token_seal_size);
+        else
+            this->good = false;
+        return token;
+    }
+
+    request_number request()
+    {
+        return {static_cast<std::uint32_t>(this->number(UINT32_MAX))};
+    }
+
+    reason why()
+    {
+        return static_cast<reason>(
+            this->number(static_cast<std::uint64_t>(reason::timed_out)));
+    }
+
+    msgpack::object const* next()
+    {
+        if (!this->good || this->at >= this->fields.size) {
+            this->good = false;
+            return nullptr;
+        }
+        return &this->fields.ptr[this->at++];
+    }
+
+    // A nested value doesn't fit.
+    void spoil()
+    {
+        this->good = false;
+    }
+
+    // Whether every field fitted and none is left over.
+    bool done() const
+    {
+        return this->good && this->at == this->fields.size;
+    }
+
+    bool has_more() const
+    {
+        return this->good && this->at < this->fields.size;
+    }
+
+private:
+    msgpack::object_array fields = {};
+    std::uint32_t at = 0;
+    bool good = false;
+};
+
+inline packet_kind read_kind(field_reader& in)
+{
+    return static_cast<packet_kind>(in.number(UINT8_MAX));
+}
+
+// Reads each item of a nested list with `read`.
+template <class Item, class Read>
+std::vector<Item> read_list(field_reader& in, Read read)
+{
+    std::vector<Item> items;
+    msgpack::object const* field = in.next();
+    if (field == nullptr || field->type != msgpack::type::ARRAY) {
+        in.spoil();
+        return items;
+    }
+    for (std::uint32_t i = 0; i < field->via.array.size; ++i) {
+        field_reader inner{field->via.array.ptr[i]};
+        items.push_back(read(inner));
+        if (!inner.done())
+            in.spoil();
+    }
+    return items;
+}
+
+// A list of bare numbers.
+template <class Id> std::vector<Id> read_ids(field_reader& in)
+{
+    std::vector<Id> ids;
+    msgpack::object const* field = in.next();
+    if (field == nullptr) {
+        in.spoil();
+        return ids;
+    }
+    field_reader inner{*field};
+    while (inner.has_more())
+        ids.push_back({inner.number()});
+    if (!inner.done())
+        in.spoil();
+    return ids;
+}
+
+}  // namespace detail
+}  // namespace lagoon
--- /dev/null
+++ b/src/wire/peer_codec.cpp
@@ -0,0 +1,263 @@
+#include "wire/peer_codec.hpp"
+
+namespace lagoon::detail {
+
+// ---- writing ------------------------------------------------------------
+
+void write(packet_writer& out, caller_id id)
+{
+    out.put(id.value);
+}
+
+void write(packet_writer& out, service_part const& part)
+{
+    out.put_array(4);
+    out.put(std::string_view{part.name});
+    out.put(part.changed_at.value);
+    out.put_list(part.callers);
+    out.put_list(part.targets);
+}
+
+void write(packet_writer& out, routes_part const& part)
+{
+    out.put_array(3);
+    out.put(part.changed_at.value);
+    out.put_list(part.routes);
+    out.put(part.idle_lifetime);
+}
+
+void write(packet_writer& out, service_id id)
+{
+    out.put(id.value);
+}
+
+void write(packet_writer& out, target_id id)
+{
+    out.put(id.value);
+}
+
+void write(packet_writer& out, service_delta const& delta)
+{
+    out.put_array(3);
+    out.put(std::string_view{delta.name});
+    out.put_list(delta.changed);
+    out.put_list(delta.gone);
+}
+
+void write(packet_writer& out, target_record const& target)
+{
+    out.put_array(8);
+    out.put(std::string_view{target.name});
+    out.put(std::string_view{target.data_centre});
+    out.put(target.address);
+    out.put(target.control);
+    out.put(std::uint64_t{target.slots});
+    out.put(static_cast<std::uint64_t>(target.state));
+}
+
+void write(packet_writer& out, routes_delta const& delta)
+{
+    out.put_array(3);
+    out.put_list(delta.changed);
+    out.put(delta.gone);
+    out.put(delta.idle_lifetime);
+}
+
+void write(packet_writer& out, route_record const& route)
+{
+    out.put_array(7);
+    out.put(route.address);
+    out.put_list(route.services);
+    out.put(route.objective);
+    out.put(route.deadline);
+    out.put(std::uint64_t{route.priority});
+    out.put(std::uint64_t{route.is_idempotent ? 1U : 0U});
+}
+
+void write(packet_writer& out, weighted_service const& share)
+{
+    out.put_array(2);
+    out.put(share.service.value);
+    out.put(std::uint64_t{share.weight});
+}
+
+void write(packet_writer& out, peer_digest const& what)
+{
+    out.begin(8, packet_kind::digest);
+    out.put(what.sender.value);
+    out.put(what.version.number.value);
+    out.put(what.version.content.value);
+    out.put(what.platform_age);
+    out.put(what.control);
+    out.put(std::uint64_t{what.reply_wanted ? 1U : 0U});
+    out.put(what.peers);
+}
+
+// A digest, and what leads from one generation to a later one: whole services,
+// services that changed, services that went, and routes.
+void write(packet_writer& out, peer_news const& news)
+{
+    catalog_change const& change = news.change;
+    out.begin(9, packet_kind::news);
+    write(out, news.digest);
+    out.put(change.base.value);
+    out.put(change.to.value);
+    out.put(change.whole.value);
+    out.put_list(change.parts);
+    out.put_list(change.deltas);
+    out.put_list(change.removed);
+    if (change.routes)
+        write(out, *change.routes);
+    else
+        out.put_nothing();
+    if (change.route_delta)
+        write(out, *change.route_delta);
+    else
+        out.put_nothing();
+}
+
+void write(packet_writer& out, change_request const& what)
+{
+    out.begin(1, packet_kind::change_request);
+    out.put(what.since.value);
+}
+
+void write(packet_writer& out, packet_fragment const& part)
+{
+    out.begin(4, packet_kind::fragment);
+    out.put(std::uint64_t{part.packet});
+    out.put(std::uint64_t{part.index});
+    out.put(std::uint64_t{part.count});
+    out.put(std::string_view{part.bytes});
+}
+
+// ---- reading ------------------------------------------------------------
+
+peer_digest read_digest(field_reader& in)
+{
+    process_id const sender{in.number()};
+    generation const number{in.number()};
+    digest const content{in.number()};
+    duration const age = in.span();
+    peer_address const control = in.address();
+    bool const reply_wanted = in.number(1) == 1;
+    return {sender,  {number, content}, age,
+            control, reply_wanted,      in.addresses(peers_in_digest)};
+}
+
+target_record read_target(field_reader& in)
+{
+    std::string const name{in.bytes(max_name_size)};
+    std::string const data_centre{in.bytes(max_name_size)};
+    peer_address const address = in.address();
+    peer_address const control = in.address();
+    auto const slots = static_cast<std::uint32_t>(in.number(UINT32_MAX));
+    auto const state = static_cast<target_state>(
+        in.number(static_cast<std::uint64_t>(target_state::leaving)));
+    return {
+        target_named(name), name, data_centre, address, control, slots, state};
+}
+
+service_delta read_service_delta(field_reader& in)
+{
+    std::string const name{in.bytes(max_name_size)};
+    std::vector<target_record> const changed =
+        read_list<target_record>(in, read_target);
+    return {service_named(name), name, changed, read_ids<target_id>(in)};
+}
+
+weighted_service read_share(field_reader& in)
+{
+    service_id const service{in.number()};
+    return {service, static_cast<std::uint32_t>(in.number(UINT32_MAX))};
+}
+
+route_record read_route(field_reader& in)
+{
+    peer_address const address = in.address();
+    std::vector<weighted_service> const services =
+        read_list<weighted_service>(in, read_share);
+    duration const objective = in.span();
+    duration const deadline = in.span();
+    auto const priority = static_cast<std::uint8_t>(in.number(UINT8_MAX));
+    return {address,  services, objective,
+            deadline, priority, in.number(1) == 1};
+}
+
+service_part read_part(field_reader& in)
+{
+    std::string const name{in.bytes(max_name_size)};
+    generation const changed_at{in.number()};
+    std::vector<caller_id> const callers = read_ids<caller_id>(in);
+    return {service_named(name), name, changed_at, callers,
+            read_list<target_record>(in, read_target)};
+}
+
+routes_part read_routes(field_reader& in)
+{
+    generation const changed_at{in.number()};
+    std::vector<route_record> const routes =
+        read_list<route_record>(in, read_route);
+    return {changed_at, routes, in.span()};
+}
+
+routes_delta read_routes_delta(field_reader& in)
+{
+    std::vector<route_record> const changed =
+        read_list<route_record>(in, read_route);
+    std::vector<peer_address> const gone = in.addresses(max_list_size);
+    return {changed, gone, in.span()};
+}
+
+// A nested value that may be left out.
+template <class Value, class Read>
+std::optional<Value> read_optional(field_reader& in, Read read)
+{
+    msgpack::object const* field = in.next();
+    if (field == nullptr || field->type == msgpack::type::NIL)
+        return std::nullopt;
+    field_reader inner{*field};
+    Value const value = read(inner);
+    if (!inner.done())
+        in.spoil();
+    return value;
+}
+
+peer_news read_news(field_reader& in)
+{
+    peer_news news;
+    msgpack::object const* field = in.next();
+    if (field == nullptr)
+        return news;
+    field_reader inner{*field};
+    if (read_kind(inner) != packet_kind::digest)
+        in.spoil();
+    news.digest = read_digest(inner);
+    if (!inner.done())
+        in.spoil();
+    news.change.base = {in.number()};
+    news.change.to = {in.number()};
+    news.change.whole = {in.number()};
+    news.change.parts = read_list<service_part>(in, read_part);
+    news.change.deltas = read_list<service_delta>(in, read_service_delta);
+    news.change.removed = read_ids<service_id>(in);
+    news.change.routes = read_optional<routes_part>(in, read_routes);
+    news.change.route_delta =
+        read_optional<routes_delta>(in, read_routes_delta);
+    return news;
+}
+
+change_request read_change_request(field_reader& in)
+{
+    return {{in.number()}};
+}
+
+packet_fragment read_fragment(field_reader& in)
+{
+    auto const packet = static_cast<std::uint32_t>(in.number(UINT32_MAX));
+    auto const index = static_cast<std::uint16_t>(in.number(UINT16_MAX));
+    auto const count = static_cast<std::uint16_t>(in.number(UINT16_MAX));
+    return {packet, index, count, std::string{in.bytes(max_datagram_size)}};
+}
+
+}  // namespace lagoon::detail
--- a/tests/fakes/fake_fleet.hpp
+++ b/tests/fakes/fake_fleet.hpp
@@ -818,12 +818,23 @@
     }
 
     void perform(std::string const& name, send_digest const& effect)
+    {
+        this->carry_to_peer<digest_packet>(name, effect);
+    }
+
+    void perform(std::string const& name, send_news const& effect)
+    {
+        this->carry_to_peer<news_packet>(name, effect);
+    }
+
+    template <class Packet, class Effect>
+    void carry_to_peer(std::string const& name, Effect const& effect)
     {
         ++this->control_packets;
         std::string const to = this->name_at(effect.to);
         if (to.empty() || this->is_split(name, to))
             return;
-        digest_packet const packet{this->exchange_of(name), effect.what};
+        Packet const packet{this->exchange_of(name), effect.what};
         if (this->entries.contains(to))
             this->carry({packet.from, effect.to},
                         to_entry{to, entry_event{packet}});
