Read the whole when what changed doesn't fit

Entries that had read the store at its first revision and learnt the rest from peers took the watch over when the store turned its watchers away. The change that they made of the events since led from their own old contents, not from their catalog, and didn't fit: 'digest differs after the change'. The answer counted as news all the same, so nobody read again.

Change: published_set makes single records only of a catalog of just the generation that it knows, else everything; a change of the platform that doesn't fit is no contact, and the next read is of the whole.

--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -97,10 +97,12 @@
     return made;
 }
 
-std::optional<catalog_change> published_set::take(publication const& what)
+std::optional<catalog_change> published_set::take(publication const& what,
+                                                  generation from)
 {
     if (!what.is_whole && this->revision == generation{})
         return std::nullopt;
+    bool const is_next = !what.is_whole && this->revision == from;
     if (what.is_whole)
         this->targets.clear();
     for (published_key const& one : what.keys) {
@@ -109,7 +111,7 @@
         else
             this->targets.erase(one.key);
     }
-    return this->change_to(what);
+    return this->change_to(what, is_next ? from : generation{});
 }
 
 // A service without any target has no part.
@@ -147,16 +149,17 @@
     this->routes = next;
 }
 
-catalog_change published_set::change_to(publication const& what)
+catalog_change published_set::change_to(publication const& what,
+                                        generation base)
 {
     catalog_change change{};
-    change.base = what.is_whole ? generation{} : this->revision;
+    change.base = base;
     change.to = what.upto;
     this->revision = std::max(this->revision, what.upto);
     this->replace_parts(change);
     if (what.routes)
         this->replace_routes(*what.routes, change);
-    if (what.is_whole)
+    if (base == generation{})
         change.routes = this->routes;
     std::uint64_t sum = digest_of(fleet_part{}).value;
     for (auto const& [id, part] : this->parts)
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -71,9 +71,13 @@
 class published_set
 {
 public:
-    // The change of the catalog that the publication makes. Empty when a
-    // change of keys comes before any whole read.
-    std::optional<catalog_change> take(publication const& what);
+    // The change that leads from a catalog of generation `from` to what is
+    // published now. It holds single records when this set knew just that
+    // generation, else everything: a catalog that got ahead by its peers' news
+    // may hold what this set never saw come or go. Empty when a change of keys
+    // comes before any whole read.
+    std::optional<catalog_change> take(publication const& what,
+                                       generation from);
 
     // The revision that is known; the next read of changes starts there.
     generation known() const;
@@ -83,7 +87,7 @@
 
 private:
     std::map<service_id, service_part> parts_at(generation upto) const;
-    catalog_change change_to(publication const& what);
+    catalog_change change_to(publication const& what, generation base);
     void replace_parts(catalog_change& change);
     void replace_routes(published_routes const& what, catalog_change& change);
 
--- a/src/membership/adoption.hpp
+++ b/src/membership/adoption.hpp
@@ -120,6 +120,10 @@
         detail::append(effects, member.conflicted({}, event.control, now));
         return;
     }
+    if (misfit && event.source == change_source::platform) {
+        member.misled(known, now);
+        return;
+    }
     detail::append(effects, member.answered(event.source,
                                             adopted ? &*event.change : nullptr,
                                             known, now));
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -137,6 +137,10 @@
     membership_effects conflicted(peer_address exchange, peer_address control,
                                   time_point now);
 
+    // What the platform said changed doesn't lead to its digest: the next read
+    // is of the whole.
+    void misled(catalog const& known, time_point now);
+
     // A fetch or a read failed or timed out.
     void unanswered(change_source source, catalog const& known, time_point now);
 
@@ -192,6 +196,7 @@
     bool platform_compared = false;  // since then
     catalog_version highest_heard = {};
     bool platform_answered = false;  // its last read
+    bool needs_whole = false;        // its changes have not fitted
     std::optional<catalog_version> planned_for = {};
     std::size_t planned_peers = 0;
     reading_plan present_plan = {};
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -124,6 +124,7 @@
 {
     if (source == change_source::platform) {
         this->reading_since.reset();
+        this->needs_whole = false;
         this->platform_contact = now;
         this->platform_compared = true;
         this->platform_answered = true;
@@ -189,6 +190,14 @@
                             this->settings.pace.fetch_timeout}};
 }
 
+template <random_source R>
+void membership<R>::misled(catalog const& known, time_point now)
+{
+    this->unanswered(change_source::platform, known, now);
+    this->needs_whole = true;
+    this->last_read.reset();
+}
+
 template <random_source R>
 void membership<R>::unanswered(change_source source, catalog const& known,
                                time_point now)
@@ -252,7 +261,7 @@
     bool const first = known.version() == catalog_version{};
     bool const news_is_old =
         this->platform_age(now) > this->settings.pace.reading.news_lifetime;
-    bool const wanted = plan.watches || news_is_old;
+    bool const wanted = plan.watches || news_is_old || this->needs_whole;
     // The rank may have changed since the last read, and the interval with it.
     bool const too_soon =
         now < this->earliest_read ||
@@ -260,12 +269,14 @@
     if (too_soon || !wanted)
         return;
     // The first read, and the first after a pause, doesn't wait for a change.
-    bool const may_wait = plan.watches && !first && this->platform_compared;
+    bool const may_wait = plan.watches && !first && !this->needs_whole &&
+                          this->platform_compared;
+    generation const since =
+        this->needs_whole ? generation{} : known.version().number;
     this->watching = may_wait ? plan.watch : duration{};
     this->reading_since = now;
     this->last_read = now;
-    effects.push_back(read_platform{known.version().number, may_wait,
-                                    this->watching,
+    effects.push_back(read_platform{since, may_wait, this->watching,
                                     this->settings.pace.read_timeout});
 }
 
--- a/src/programs/connection_log.cpp
+++ b/src/programs/connection_log.cpp
@@ -152,6 +152,8 @@
         .with("load", note.load)
         .with("slots", note.slots)
         .with("took_ms", note.took);
+    if (note.copy > 0)
+        line.with("copy", note.copy);
     if (note.entry != peer_address{})
         line.with("entry", note.entry);
     if (!request_id.empty())
