--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -32,6 +32,10 @@
     std::size_t most_waiting = 256;  // requests queued at once
     duration cold_span = {};         // a cold target ramps up this long
 
+    // From a slot given to a request until its answer has reached its caller,
+    // beside the running time: what is on the way meanwhile.
+    duration on_the_way = {};
+
     // A request may spend this share of its time to the deadline waiting.
     // Less than all of it: predictions are too short whenever a straggler
     // runs.
@@ -64,14 +68,17 @@
     std::optional<refusal> offer(request_key key, work_kind const& kind,
                                  request_urgency const& urgency, time_point now)
     {
-        waiting_request const request{
-            key,
-            kind.caller,
-            this->predictor.predict(kind),
-            now,
-            urgency.objective,
-            urgency.deadline.value_or(time_point::max()),
-            urgency.priority};
+        duration const predicted = this->predictor.predict(kind);
+        duration const needed = this->time_to_answer(predicted);
+        time_point const deadline =
+            urgency.deadline.value_or(time_point::max());
+        waiting_request const request{key,
+                                      kind.caller,
+                                      predicted,
+                                      now,
+                                      latest_start(urgency.objective, needed),
+                                      latest_start(deadline, needed),
+                                      urgency.priority};
         duration const wait = this->predicted_wait(request, now);
         if (this->queue.size() >= this->limits.most_waiting)
             return refusal{reason::overloaded, wait};
@@ -120,14 +127,13 @@
         return this->running.contains(key);
     }
 
-    // Waiting requests that no slot can serve in time any more leave.
-    std::vector<waiting_request> take_expired(time_point now) requires
-        requires(Queue& queue)
-    {
-        queue.take_expired(now);
-    }
+    // Waiting requests that no slot can serve in time any more leave, where
+    // the queue tells them.
+    std::vector<waiting_request> take_expired(time_point now)
     {
-        std::vector<waiting_request> const over = this->queue.take_expired(now);
+        std::vector<waiting_request> over;
+        if constexpr (requires { this->queue.take_expired(now); })
+            over = this->queue.take_expired(now);
         for (waiting_request const& one : over)
             this->kinds.erase(one.key);
         return over;
@@ -213,6 +219,17 @@
         auto operator<=>(running_request const&) const = default;
     };
 
+    // Running times are learnt with what the back end lets a request wait.
+    duration time_to_answer(duration predicted) const
+    {
+        return this->limits.on_the_way + predicted;
+    }
+
+    static time_point latest_start(time_point end, duration needed)
+    {
+        return end == time_point::max() ? end : end - needed;
+    }
+
     duration waiting_share(time_point deadline, time_point now) const
     {
         auto const left = static_cast<double>((deadline - now).count());
--- a/src/admission/objective_queue.hpp
+++ b/src/admission/objective_queue.hpp
@@ -18,8 +18,8 @@
 // late already, takes the slots that are left.
 //
 // Among requests that can meet their objective the more urgent priority goes
-// first, then the earlier objective. Among late ones the latest arrival: it
-// is the one whose caller waits longest yet.
+// first, then the one that must start earlier. Among late ones the latest
+// arrival: it is the one whose caller waits longest yet.
 class objective_queue
 {
 public:
@@ -64,13 +64,12 @@
         return sum;
     }
 
-    // Requests that would end after their deadline if they started now.
+    // Requests that would miss their deadline if they started now.
     std::vector<waiting_request> take_expired(time_point now)
     {
         std::vector<waiting_request> over;
         std::erase_if(this->waiting, [&over, now](auto const& one) {
-            bool const is_over = one.deadline != time_point::max() &&
-                                 now + one.predicted > one.deadline;
+            bool const is_over = now > one.drop_by;
             if (is_over)
                 over.push_back(one);
             return is_over;
@@ -81,8 +80,7 @@
 private:
     static bool is_late(waiting_request const& request, time_point now)
     {
-        return request.objective != time_point::max() &&
-               now + request.predicted > request.objective;
+        return now > request.start_by;
     }
 
     static bool goes_before(waiting_request const& a, waiting_request const& b,
@@ -96,7 +94,7 @@
             return a.priority < b.priority;
         if (a_late)
             return a.arrived > b.arrived;
-        return a.objective < b.objective;
+        return a.start_by < b.start_by;
     }
 
     std::vector<waiting_request> waiting = {};
--- a/src/admission/queues.hpp
+++ b/src/admission/queues.hpp
@@ -28,9 +28,9 @@
     caller_id caller = {};
     duration predicted = {};
     time_point arrived = {};
-    time_point objective = time_point::max();  // worth less after it
-    time_point deadline = time_point::max();   // of no use after it
-    std::uint8_t priority = 0;                 // 0 is the most urgent
+    time_point start_by = time_point::max();  // else it misses its objective
+    time_point drop_by = time_point::max();   // else it misses its deadline
+    std::uint8_t priority = 0;                // 0 is the most urgent
     auto operator<=>(waiting_request const&) const = default;
 };
 
--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -14,6 +14,7 @@
 #include "placement/directory.hpp"
 #include "placement/owners.hpp"
 #include "placement/placer.hpp"
+#include "placement/repeats.hpp"
 
 #include <deque>
 #include <optional>
@@ -149,10 +150,18 @@
     std::size_t connections() const;
 
 private:
+    // When an opening packet came in, and when its caller first asked.
+    struct open_times
+    {
+        time_point arrived = {};
+        time_point begun = {};
+        auto operator<=>(open_times const&) const = default;
+    };
+
     struct held_packet
     {
         connection_packet packet = {};
-        time_point arrived = {};
+        open_times times = {};
         time_point due = {};
         auto operator<=>(held_packet const&) const = default;
     };
@@ -178,17 +187,22 @@
     void on_event(effects_type& effects, stop_asked const& event,
                   time_point now);
 
+    open_times times_of(connection_packet const& packet, time_point now);
     void place(effects_type& effects, connection_packet const& packet,
-               time_point arrived, std::optional<peer_address> last,
+               open_times times, std::optional<peer_address> last,
                time_point now);
     void search(effects_type& effects, connection_packet const& packet,
                 std::optional<peer_address> first,
                 std::optional<peer_address> last, time_point now);
     void begin(effects_type& effects, placing_wish const& wish, time_point now);
     void hold(effects_type& effects, connection_packet const& packet,
-              time_point arrived, time_point now);
+              open_times times, time_point now);
     void refuse_route(effects_type& effects, connection_packet const& packet,
-                      time_point now);
+                      open_times times, time_point now);
+    void refuse(effects_type& effects, connection_packet const& packet,
+                time_point begun, time_point now);
+    void take_back(effects_type& effects, connection_packet const& packet,
+                   answer_from_target const& event, time_point now);
     void take(effects_type& effects, placing_outcomes const& outcomes,
               time_point now);
     void take(effects_type& effects, ask_target const& what, time_point now);
@@ -214,6 +228,7 @@
     owner_table owners;
     placer<P> placing;
     std::deque<held_packet> held = {};
+    repeat_memory repeats = {};
     bool reached_platform = false;
     bool is_waking = false;  // paused a moment ago, nothing compared since
     bool owners_full = false;
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -5,6 +5,16 @@
 
 namespace detail {
 
+// How old a caller's attempt is, by the copies of its opening packet that
+// came before: callers send them 0, 200 and 600 ms after they begin.
+inline duration age_of_copy(std::uint8_t copy)
+{
+    constexpr std::array<duration, 3> ages{std::chrono::milliseconds{0},
+                                           std::chrono::milliseconds{200},
+                                           std::chrono::milliseconds{600}};
+    return ages[std::min<std::size_t>(copy, ages.size() - 1)];
+}
+
 // The service of a connection by the route's weights, alike at every entry.
 inline std::optional<service_id> service_for(route_record const& route,
                                              connection_ends const& ends)
@@ -135,7 +145,8 @@
     }
     std::optional<owner_record> const owner = this->owners.find(packet.ends);
     if (packet.opens)
-        this->place(effects, packet, now, std::nullopt, now);
+        this->place(effects, packet, this->times_of(packet, now), std::nullopt,
+                    now);
     else if (owner && owner->is_sure)
         this->pass_on(effects, *owner, packet, now);
     else
@@ -158,10 +169,24 @@
         owner.target, {{}, owner.service, 0, false, {}, packet.bytes}});
 }
 
+// A request that was refused a moment ago and is asked again is as old as it
+// was.
+template <random_source R, placement_policy P>
+typename connection_entry<R, P>::open_times
+connection_entry<R, P>::times_of(connection_packet const& packet,
+                                 time_point now)
+{
+    if (packet.copy > 0)
+        return {now, now - detail::age_of_copy(packet.copy)};
+    std::optional<time_point> const begun = this->repeats.take(
+        packet.ends.caller.ip, packet.ends.service, now);
+    return {now, begun.value_or(now)};
+}
+
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::refuse_route(effects_type& effects,
                                           connection_packet const& packet,
-                                          time_point now)
+                                          open_times times, time_point now)
 {
     // A configuration that may be behind proves nothing: the route may be new.
     bool const is_fresh = this->member.is_ready(this->known, now) &&
@@ -169,7 +194,7 @@
                               this->settings.member.pace.reading.news_lifetime;
     if (!is_fresh) {
         if (packet.opens)
-            this->hold(effects, packet, now, now);
+            this->hold(effects, packet, times, now);
         return;
     }
     effects.push_back(
@@ -184,21 +209,21 @@
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::place(effects_type& effects,
                                    connection_packet const& packet,
-                                   time_point arrived,
+                                   open_times times,
                                    std::optional<peer_address> last,
                                    time_point now)
 {
     if (!this->member.is_ready(this->known, now)) {
         if (this->is_waking || this->stood_still(now))
             effects.push_back(this->note(placement_result::outdated,
-                                         packet.ends, arrived, now));
+                                         packet.ends, times.arrived, now));
         else
-            this->hold(effects, packet, arrived, now);
+            this->hold(effects, packet, times, now);
         return;
     }
     route_record const* route = this->known.find_route(packet.ends.service);
     if (route == nullptr) {
-        this->refuse_route(effects, packet, now);
+        this->refuse_route(effects, packet, times, now);
         return;
     }
     std::optional<service_id> const service =
@@ -207,7 +232,7 @@
         service ? this->directory.find(*service) : nullptr;
     std::optional<owner_record> const owner = this->owners.find(packet.ends);
     if (part == nullptr) {
-        this->hold(effects, packet, arrived, now);
+        this->hold(effects, packet, times, now);
         return;
     }
     std::vector<target_record const*> ranked =
@@ -218,14 +243,12 @@
         ranked = rank_owners(*part, key_of(packet.ends));
     std::vector<placing_target> targets = detail::placing_targets(
         ranked, is_copy ? std::optional{owner->target} : std::nullopt, last);
-    this->begin(
-        effects,
-        {packet,
-         *service,
-         {route->address, route->objective, route->deadline, route->priority},
-         std::move(targets),
-         arrived},
-        now);
+    request_terms const terms{
+        route->address, route->objective, route->deadline, route->priority, {}};
+    this->begin(effects,
+                {packet, *service, terms, std::move(targets), times.arrived,
+                 times.begun},
+                now);
 }
 
 // Looks for the owner of an open connection among all targets of its service.
@@ -238,7 +261,7 @@
 {
     route_record const* route = this->known.find_route(packet.ends.service);
     if (route == nullptr) {
-        this->refuse_route(effects, packet, now);
+        this->refuse_route(effects, packet, {now, now}, now);
         return;
     }
     std::optional<service_id> const service =
@@ -256,6 +279,7 @@
                  {},
                  detail::placing_targets(
                      rank_owners(*part, key_of(packet.ends)), first, last),
+                 now,
                  now},
                 now);
 }
@@ -270,17 +294,18 @@
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::hold(effects_type& effects,
                                   connection_packet const& packet,
-                                  time_point arrived, time_point now)
+                                  open_times times,
+                                  time_point now)
 {
-    bool const is_over = now + this->settings.retry_interval - arrived >
+    bool const is_over = now + this->settings.retry_interval - times.arrived >
                              this->settings.longest_hold ||
                          this->held.size() >= this->settings.most_held;
     effects.push_back(
         this->note(is_over ? placement_result::dropped : placement_result::held,
-                   packet.ends, arrived, now));
+                   packet.ends, times.arrived, now));
     if (!is_over)
         this->held.push_back(
-            {packet, arrived, now + this->settings.retry_interval});
+            {packet, times, now + this->settings.retry_interval});
 }
 
 template <random_source R, placement_policy P>
@@ -291,7 +316,7 @@
         held_packet const one = this->held.front();
         this->held.pop_front();
         if (!this->placing.is_placing(one.packet.ends))
-            this->place(effects, one.packet, one.arrived, std::nullopt, now);
+            this->place(effects, one.packet, one.times, std::nullopt, now);
     }
 }
 
@@ -325,9 +350,13 @@
     // A target that stayed silent may have taken the opening packet as well.
     bool const is_sure = !opens || what.silent == 0;
     owner_record const owner{
-        what.target,  what.service,
-        is_sure,      what.packet.finishes || what.packet.resets,
-        what.arrived, now};
+        .target = what.target,
+        .service = what.service,
+        .is_sure = is_sure,
+        .is_finished = what.packet.finishes || what.packet.resets,
+        .placed_at = what.arrived,
+        .begun = what.begun,
+        .last_used = now};
     bool const has_room = this->owners.note(what.packet.ends, owner);
     if (!has_room && !this->owners_full)
         effects.push_back(belief_note{belief::table_full, {}, {}});
@@ -349,18 +378,32 @@
 void connection_entry<R, P>::take(effects_type& effects,
                                   placing_failed const& what, time_point now)
 {
-    if (what.packet.opens && !what.refused) {
-        this->hold(effects, what.packet, what.arrived, now);
+    if (what.refused) {
+        this->refuse(effects, what.packet, what.begun, now);
         return;
     }
-    placement_note note = this->note(
-        what.refused ? placement_result::refused : placement_result::owner_lost,
-        what.packet.ends, what.arrived, now);
+    if (what.packet.opens) {
+        this->hold(effects, what.packet, {what.arrived, what.begun}, now);
+        return;
+    }
+    placement_note note = this->note(placement_result::owner_lost,
+                                     what.packet.ends, what.arrived, now);
     note.asked = what.asked;
     note.silent = what.silent;
     effects.push_back(note);
-    if (what.refused)
-        effects.push_back(reset_caller{what.packet});
+}
+
+// It has not run, and the caller is told at once.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::refuse(effects_type& effects,
+                                    connection_packet const& packet,
+                                    time_point begun, time_point now)
+{
+    effects.push_back(
+        this->note(placement_result::refused, packet.ends, begun, now));
+    effects.push_back(reset_caller{packet});
+    this->repeats.refused(
+        {packet.ends.caller.ip, packet.ends.service, begun, now});
 }
 
 // ---- answers of targets -------------------------------------------------
@@ -376,24 +419,37 @@
         event.answer.question == question_id{} && event.returned;
     if (!comes_back)
         return;
-    // The target can't use what it was sent for its own.
-    connection_packet const& packet = *event.returned;
+    this->take_back(effects, *event.returned, event, now);
+}
+
+// The target can't use for its own what it was sent.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::take_back(effects_type& effects,
+                                       connection_packet const& packet,
+                                       answer_from_target const& event,
+                                       time_point now)
+{
     std::optional<owner_record> const owner = this->owners.find(packet.ends);
-    time_point const arrived = owner ? owner->placed_at : now;
+    open_times const times = owner ? open_times{owner->placed_at, owner->begun}
+                                   : open_times{now, now};
     if (owner && owner->target == event.from)
         this->owners.forget(packet.ends);
+    if (event.answer.verdict == offer_verdict::refused) {
+        this->refuse(effects, packet, times.begun, now);
+        return;
+    }
     if (event.answer.verdict != offer_verdict::not_owner)
         this->hints.avoid(event.from, detail::unusable_avoidance, now);
-    placement_note note =
-        this->note(placement_result::returned, packet.ends, arrived, now);
+    placement_note note = this->note(placement_result::returned, packet.ends,
+                                     times.arrived, now);
     note.target = event.from;
     effects.push_back(note);
     if (this->placing.is_placing(packet.ends))
         return;
-    if (packet.opens)
-        this->place(effects, packet, arrived, event.from, now);
-    else
+    if (!packet.opens)
         this->search(effects, packet, std::nullopt, event.from, now);
+    else if (now - times.arrived < this->settings.longest_hold)
+        this->place(effects, packet, times, event.from, now);
 }
 
 // ---- configuration ------------------------------------------------------
--- a/src/placement/hints.cpp
+++ b/src/placement/hints.cpp
@@ -9,6 +9,15 @@
 constexpr duration hint_lifetime = std::chrono::seconds{60};  // of a record
 constexpr std::uint32_t most_doublings = 4;  // from least to most avoidance
 
+// How long what a target told holds.
+duration lifetime_of(target_hint const& hint)
+{
+    if (hint.load <= hint.slots)
+        return load_lifetime;
+    duration const waiting = waiting_lifetime * (hint.load - hint.slots);
+    return std::min(load_lifetime + waiting, most_load_lifetime);
+}
+
 }  // namespace
 
 void target_hints::told(peer_address target, std::uint32_t load,
@@ -43,11 +52,24 @@
     return this->relative_load(target, now) >= 1.0;
 }
 
+void target_hints::placed(peer_address target)
+{
+    auto const found = this->hints.find(target);
+    if (found != this->hints.end())
+        found->second.load += 1;
+}
+
+std::uint32_t target_hints::load(peer_address target) const
+{
+    auto const found = this->hints.find(target);
+    return found == this->hints.end() ? 0 : found->second.load;
+}
+
 double target_hints::relative_load(peer_address target, time_point now) const
 {
     auto const found = this->hints.find(target);
     if (found == this->hints.end() || found->second.slots == 0 ||
-        now - found->second.told_at > load_lifetime)
+        now - found->second.told_at > lifetime_of(found->second))
         return 0;
     return static_cast<double>(found->second.load) / found->second.slots;
 }
--- a/src/placement/hints.hpp
+++ b/src/placement/hints.hpp
@@ -26,8 +26,11 @@
 };
 
 // A load that was told longer ago than this says nothing: it is about the
-// running time of a short request, after which the load is another one.
+// running time of a short request, after which the load is another one. Each
+// request that waits beyond the slots adds about its own time, up to a limit.
 constexpr duration load_lifetime = std::chrono::milliseconds{15};
+constexpr duration waiting_lifetime = std::chrono::milliseconds{8};
+constexpr duration most_load_lifetime = std::chrono::milliseconds{150};
 
 // How long a target is passed over after a question without an answer. It
 // doubles with each further one: a single lost datagram costs little, and a
@@ -44,6 +47,9 @@
               time_point now);
     void silent(peer_address target, time_point now);
 
+    // A connection was placed there, beyond what it told.
+    void placed(peer_address target);
+
     // Its back end doesn't answer, or it takes nothing new.
     void avoid(peer_address target, duration span, time_point now);
 
@@ -52,6 +58,10 @@
     // Whether it said a moment ago that no slot is free.
     bool seemed_busy(peer_address target, time_point now) const;
 
+    // Requests that it held when it said that no slot is free, and those that
+    // were placed there since.
+    std::uint32_t load(peer_address target) const;
+
     // Requests for each slot as told a moment ago; 0 when nothing is known.
     double relative_load(peer_address target, time_point now) const;
 
--- a/src/placement/owners.hpp
+++ b/src/placement/owners.hpp
@@ -24,6 +24,7 @@
     bool is_sure = false;       // no other target was offered its opening
     bool is_finished = false;   // the caller sends no more data
     time_point placed_at = {};  // when its opening packet came in
+    time_point begun = {};      // when the caller first asked
     time_point last_used = {};
     auto operator<=>(owner_record const&) const = default;
 };
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -40,6 +40,7 @@
     request_terms terms = {};
     std::vector<placing_target> ranked = {};  // best first
     time_point arrived = {};
+    time_point begun = {};  // when the caller first asked, as far as known
     auto operator<=>(placing_wish const&) const = default;
 };
 
@@ -62,6 +63,7 @@
     std::uint32_t asked = 0;   // targets that were asked
     std::uint32_t silent = 0;  // of those
     time_point arrived = {};
+    time_point begun = {};
     std::vector<std::string> followers = {};  // later packets, in order
     auto operator<=>(owner_found const&) const = default;
 };
@@ -74,6 +76,7 @@
     std::uint32_t asked = 0;
     std::uint32_t silent = 0;  // of those asked
     time_point arrived = {};
+    time_point begun = {};
     auto operator<=>(placing_failed const&) const = default;
 };
 
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -46,8 +46,15 @@
     if (wish.packet.opens)
         usable = this->policy.order(usable, hints, now);
     usable.insert(usable.end(), avoided.begin(), avoided.end());
-    for (peer_address const& address : usable)
-        record.choices.push_back({{address, slots[address]}});
+    for (peer_address const& address : usable) {
+        bool const is_busy = wish.packet.opens && P::trusts_hints &&
+                             hints.seemed_busy(address, now);
+        record.busy += is_busy ? 1U : 0U;
+        record.choices.push_back(
+            {{address, slots[address]},
+             is_busy ? choice_state::busy : choice_state::untried,
+             is_busy ? hints.load(address) : 0});
+    }
     if (record.choices.empty())
         return {this->fail(record, false)};
     placing_record& kept = this->records[ends] = record;
@@ -132,8 +139,11 @@
     this->questions[record.question.value] = wish.packet.ends;
     this->due.push_back(
         {now + this->limits.silence, record.question, wish.packet.ends});
-    std::optional<request_terms> const terms =
-        wish.packet.opens ? std::optional{wish.terms} : std::nullopt;
+    std::optional<request_terms> terms;
+    if (wish.packet.opens) {
+        terms = wish.terms;
+        terms->age = now - wish.begun;
+    }
     return ask_target{one.target.address,
                       {record.question, wish.service, one.target.slots,
                        may_wait, terms, wish.packet.bytes}};
@@ -146,7 +156,8 @@
 {
     return placing_failed{
         record.wish.packet, record.wish.service, refused,
-        record.asked,       record.silent,       record.wish.arrived};
+        record.asked,       record.silent,       record.wish.arrived,
+        record.wish.begun};
 }
 
 template <placement_policy P>
@@ -161,6 +172,7 @@
                        record.asked,
                        record.silent,
                        record.wish.arrived,
+                       record.wish.begun,
                        record.followers};
 }
 
@@ -203,6 +215,8 @@
     choice& one = record.choices[record.at];
     this->note(answer, one.target.address, hints, now);
     if (detail::owns(answer.verdict)) {
+        if (record.wish.packet.opens)
+            hints.placed(one.target.address);
         placing_outcome const settled = this->settle(record, answer);
         this->records.erase(record.wish.packet.ends);
         return settled;
--- a/src/placement/policies.hpp
+++ b/src/placement/policies.hpp
@@ -34,6 +34,10 @@
     {
         P::probes
         } -> std::convertible_to<std::size_t>;
+    // Whether a target that said so a moment ago counts as busy unasked.
+    {
+        P::trusts_hints
+        } -> std::convertible_to<bool>;
     // The same targets in the order in which they are asked.
     {
         policy.order(ranked, hints, now)
@@ -45,6 +49,7 @@
 struct ranking_alone
 {
     static constexpr std::size_t probes = 0;
+    static constexpr bool trusts_hints = false;
 
     ranked_addresses order(ranked_addresses const& ranked, target_hints const&,
                            time_point) const
@@ -61,6 +66,7 @@
 struct probe_in_turn
 {
     static constexpr std::size_t probes = 4;
+    static constexpr bool trusts_hints = false;
 
     ranked_addresses order(ranked_addresses const& ranked, target_hints const&,
                            time_point) const
@@ -74,6 +80,7 @@
 struct lesser_of_two
 {
     static constexpr std::size_t probes = 0;
+    static constexpr bool trusts_hints = false;
 
     ranked_addresses order(ranked_addresses const& ranked,
                            target_hints const& hints, time_point now) const
@@ -90,11 +97,14 @@
 
 // ---- free_first ---------------------------------------------------------
 
-// Load pattern: the same near full load, where most of the first few are
-// busy. Answers of a moment ago save the round trips to those.
+// Load pattern: the same near full load and beyond, where most of the first few
+// are busy. Answers of a moment ago save the round trips to those, and an
+// entry's processor with them: five questions for each connection are more
+// than a twentieth of a core can ask at the crest.
 struct free_first
 {
     static constexpr std::size_t probes = 4;
+    static constexpr bool trusts_hints = true;
 
     ranked_addresses order(ranked_addresses const& ranked,
                            target_hints const& hints, time_point now) const
--- a/src/programs/connection_target_program.ipp
+++ b/src/programs/connection_target_program.ipp
@@ -20,6 +20,10 @@
 // An opening packet may wait for half of the time that its caller has.
 constexpr double open_waiting_share = 0.5;
 
+// Three one-way trips between callers and back ends, of 3 to 4 ms each: the
+// acceptance, the request and the answer.
+constexpr duration caller_trips = std::chrono::milliseconds{12};
+
 inline connection_target_settings
 role_settings(target_process_settings const& settings)
 {
@@ -27,6 +31,7 @@
     role.service = service_named(settings.service);
     role.admission = {.slots = 1,
                       .ahead = started_ahead,
+                      .on_the_way = caller_trips,
                       .most_waiting_share = open_waiting_share};
     role.knows_all = settings.first_start;
     role.longest_connection = settings.longest_connection;
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -22,9 +22,10 @@
 struct request_terms
 {
     peer_address route = {};    // its address, which names the kind of work
-    duration objective = {};    // latency objective
-    duration deadline = {};     // a later answer is of no use
+    duration objective = {};    // latency objective; 0: none
+    duration deadline = {};     // a later answer is of no use; 0: none
     std::uint8_t priority = 0;  // 0 is the most urgent
+    duration age = {};          // since the caller first asked, as far as known
     auto operator<=>(request_terms const&) const = default;
 };
 
--- /dev/null
+++ b/src/target/connection_target.ipp
@@ -0,0 +1,513 @@
+// Bodies of the templates that connection_target.hpp declares.
+#pragma once
+
+namespace lagoon {
+
+namespace detail {
+
+inline request_key slot_key(connection_ends const& ends)
+{
+    return {key_of(ends), {}};
+}
+
+inline request_urgency urgency_of(packet_offer const& offer, time_point now)
+{
+    if (!offer.terms)
+        return {};
+    time_point const begun = now - offer.terms->age;
+    request_urgency urgency{};
+    urgency.priority = offer.terms->priority;
+    if (offer.terms->deadline > duration{})
+        urgency.deadline = begun + offer.terms->deadline;
+    if (offer.terms->objective > duration{})
+        urgency.objective = begun + offer.terms->objective;
+    return urgency;
+}
+
+}  // namespace detail
+
+template <queue_policy Q, running_time_predictor T>
+connection_target<Q, T>::connection_target(connection_target_settings settings,
+                                           time_point now)
+    : settings(settings), gate(settings.admission, now),
+      table(settings.connections), started(now)
+{
+}
+
+template <queue_policy Q, running_time_predictor T>
+connection_target_effects
+connection_target<Q, T>::on(connection_target_event const& event,
+                            time_point now)
+{
+    connection_target_effects effects;
+    std::visit(
+        [this, &effects, now](auto const& one) {
+            this->on_event(effects, one, now);
+        },
+        event);
+    return effects;
+}
+
+template <queue_policy Q, running_time_predictor T>
+std::optional<time_point>
+connection_target<Q, T>::next_due(time_point now) const
+{
+    // How often a queue is looked at for requests that no slot can serve.
+    constexpr duration queue_interval = std::chrono::milliseconds{20};
+    std::optional<time_point> due = this->monitor.next_due();
+    if (this->gate.waiting() > 0)
+        due =
+            std::min(due.value_or(now + queue_interval), now + queue_interval);
+    return due;
+}
+
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::may_stop(time_point now) const
+{
+    if (!this->stopping_since)
+        return false;
+    return now - *this->stopping_since > this->settings.longest_stop ||
+           !this->table.any_used_within(this->settings.idle_before_stop, now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+std::size_t connection_target<Q, T>::connections() const
+{
+    return this->table.size();
+}
+
+template <queue_policy Q, running_time_predictor T>
+std::uint32_t connection_target<Q, T>::load() const
+{
+    return this->gate.load();
+}
+
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::knows_all(time_point now) const
+{
+    return this->settings.knows_all ||
+           now - this->started > this->settings.longest_connection;
+}
+
+template <queue_policy Q, running_time_predictor T>
+work_kind connection_target<Q, T>::kind_of(peer_address route) const
+{
+    return {{}, hash_pair(route.ip, route.port), {}};
+}
+
+template <queue_policy Q, running_time_predictor T>
+tracking_note connection_target<Q, T>::note(tracking_result result,
+                                            connection_ends const& ends,
+                                            duration took) const
+{
+    return {.result = result,
+            .ends = ends,
+            .load = this->gate.load(),
+            .slots = this->gate.slots(),
+            .took = took};
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::answer(effects_type& effects,
+                                     offer_from_entry const& event,
+                                     offer_verdict verdict, bool with_packet,
+                                     time_point)
+{
+    bool const asked = event.offer.question != question_id{};
+    if (!asked && !with_packet)
+        return;
+    effects.push_back(answer_entry{
+        event.from,
+        {event.offer.question, verdict, this->gate.load(), this->gate.slots(),
+         asked ? std::string{} : event.packet.bytes}});
+}
+
+// ---- offers of entries --------------------------------------------------
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type& effects,
+                                       offer_from_entry const& event,
+                                       time_point now)
+{
+    if (event.offer.service != this->settings.service) {
+        this->answer(effects, event, offer_verdict::wrong_service, true, now);
+        return;
+    }
+    if (event.offer.slots > 0)
+        this->gate.set_slots(event.offer.slots);
+    if (event.packet.opens)
+        this->take_open(effects, event, now);
+    else
+        this->take_other(effects, event, now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::take_open(effects_type& effects,
+                                        offer_from_entry const& event,
+                                        time_point now)
+{
+    connection_record const* record = this->table.find(event.packet.ends);
+    bool const is_copy = record != nullptr &&
+                         record->stage != connection_stage::foreign &&
+                         !(record->caller_finished && record->target_finished);
+    if (is_copy) {
+        this->take_copy(effects, event, *record, now);
+        return;
+    }
+    if (this->stopping_since) {
+        this->answer(effects, event, offer_verdict::leaving, true, now);
+        return;
+    }
+    if (!this->monitor.may_give(now)) {
+        this->answer(effects, event, offer_verdict::no_answer, true, now);
+        return;
+    }
+    this->admit(effects, event, now);
+}
+
+// The first one waits here, or the back end has it: a copy learns the same.
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::take_copy(effects_type& effects,
+                                        offer_from_entry const& event,
+                                        connection_record const& record,
+                                        time_point now)
+{
+    if (record.stage == connection_stage::waiting) {
+        this->answer(effects, event, offer_verdict::waiting, false, now);
+        return;
+    }
+    effects.push_back(send_to_back_end{event.packet.bytes});
+    connection_record next = record;
+    next.entry = event.from;
+    next.last_used = now;
+    this->table.put(event.packet.ends, next);
+    if (record.stage == connection_stage::opening)
+        this->monitor.given(event.packet.ends, event.packet.bytes, now);
+    this->answer(effects, event, offer_verdict::taken, false, now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::admit(effects_type& effects,
+                                    offer_from_entry const& event,
+                                    time_point now)
+{
+    this->expire_running(now);
+    bool const is_free = this->gate.has_free_slot(now);
+    if (!is_free && !event.offer.may_wait) {
+        this->answer(effects, event, offer_verdict::busy, false, now);
+        return;
+    }
+    connection_packet const& packet = event.packet;
+    peer_address const route =
+        event.offer.terms ? event.offer.terms->route : packet.ends.service;
+    bool const has_room =
+        this->table.put(packet.ends, {.stage = connection_stage::waiting,
+                                      .entry = event.from,
+                                      .route = route,
+                                      .since = now,
+                                      .last_used = now});
+    if (!has_room) {
+        effects.push_back(
+            this->note(tracking_result::table_full, packet.ends, {}));
+        this->answer(effects, event, offer_verdict::busy, true, now);
+        return;
+    }
+    this->let_wait(effects, event, now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::let_wait(effects_type& effects,
+                                       offer_from_entry const& event,
+                                       time_point now)
+{
+    connection_packet const& packet = event.packet;
+    connection_record const& record = *this->table.find(packet.ends);
+    std::optional<refusal> const refused = this->gate.offer(
+        detail::slot_key(packet.ends), this->kind_of(record.route),
+        detail::urgency_of(event.offer, now), now);
+    if (refused) {
+        this->table.erase(packet.ends);
+        tracking_note note =
+            this->note(tracking_result::refused, packet.ends, {});
+        note.took = refused->retry_after;
+        note.copy = packet.copy;
+        effects.push_back(note);
+        this->answer(effects, event, offer_verdict::refused, true, now);
+        return;
+    }
+    this->waiting.put({packet, event.from});
+    this->start_waiting(effects, now);
+    connection_record const* after = this->table.find(packet.ends);
+    bool const waits =
+        after != nullptr && after->stage == connection_stage::waiting;
+    if (waits) {
+        tracking_note note =
+            this->note(tracking_result::queued, packet.ends, {});
+        note.entry = event.from;
+        note.copy = packet.copy;
+        effects.push_back(note);
+    }
+    this->answer(effects, event,
+                 waits ? offer_verdict::waiting : offer_verdict::taken, false,
+                 now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::give_open(effects_type& effects,
+                                        connection_packet const& packet,
+                                        peer_address entry, time_point now)
+{
+    connection_record next = *this->table.find(packet.ends);
+    duration const waited = now - next.since;
+    tracking_note note =
+        this->note(waited > duration{} ? tracking_result::dequeued
+                                       : tracking_result::admitted,
+                   packet.ends, waited);
+    note.entry = entry;
+    note.copy = packet.copy;
+    effects.push_back(note);
+    next.stage = connection_stage::opening;
+    next.since = now;
+    next.last_used = now;
+    this->table.put(packet.ends, next);
+    this->monitor.given(packet.ends, packet.bytes, now);
+    effects.push_back(send_to_back_end{packet.bytes});
+}
+
+// Gives the back end as many opening packets as it has room for.
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::start_waiting(effects_type& effects,
+                                            time_point now)
+{
+    while (std::optional<waiting_request> const next = this->gate.next(now)) {
+        std::optional<waiting_open> const one =
+            this->waiting.take(next->key.flow);
+        if (one && this->table.find(one->packet.ends) != nullptr)
+            this->give_open(effects, one->packet, one->entry, now);
+        else
+            this->gate.release(next->key);
+    }
+}
+
+// Callers that gave up say nothing, so their slots are freed by time.
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::expire_running(time_point now)
+{
+    for (request_key const key : this->gate.held_in_vain(
+             this->settings.handshake_limit, this->settings.longest_run, now))
+        this->gate.release(key);
+}
+
+// ---- other packets of callers -------------------------------------------
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::take_other(effects_type& effects,
+                                         offer_from_entry const& event,
+                                         time_point now)
+{
+    connection_record const* record = this->table.find(event.packet.ends);
+    if (record == nullptr && this->knows_all(now)) {
+        this->answer(effects, event, offer_verdict::not_owner, true, now);
+        return;
+    }
+    if (record == nullptr) {
+        // This process is younger than the connection may be: the back end
+        // itself knows.
+        this->deliver(effects, event,
+                      {.stage = connection_stage::trial,
+                       .route = event.packet.ends.service,
+                       .since = now},
+                      now);
+        return;
+    }
+    bool const is_other = record->stage == connection_stage::foreign ||
+                          record->stage == connection_stage::waiting ||
+                          !acknowledges_this(*record, event.packet);
+    if (is_other)
+        this->answer(effects, event, offer_verdict::not_owner, true, now);
+    else
+        this->deliver(effects, event, *record, now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::deliver(effects_type& effects,
+                                      offer_from_entry const& event,
+                                      connection_record record, time_point now)
+{
+    connection_packet const& packet = event.packet;
+    request_key const key = detail::slot_key(packet.ends);
+    record.entry = event.from;
+    record.last_used = now;
+    record.caller_finished =
+        record.caller_finished || packet.finishes || packet.resets;
+    bool const begins_request = packet.size > 0 &&
+                                record.stage != connection_stage::asked &&
+                                record.stage != connection_stage::trial;
+    if (begins_request) {
+        tracking_note note = this->note(tracking_result::request, packet.ends,
+                                        now - record.since);
+        note.entry = event.from;
+        note.bytes = packet.bytes;
+        effects.push_back(note);
+        record.stage = connection_stage::asked;
+        record.since = now;
+        if (this->gate.is_running(key))
+            this->gate.begun(key, now);
+        else
+            this->gate.occupy(key, this->kind_of(record.route), now);
+    }
+    if (packet.resets)
+        this->gate.release(key);
+    this->table.put(packet.ends, record);
+    effects.push_back(send_to_back_end{packet.bytes});
+    this->answer(effects, event, offer_verdict::taken, false, now);
+    if (packet.resets)
+        this->start_waiting(effects, now);
+}
+
+// ---- the back end -------------------------------------------------------
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type& effects,
+                                       packet_from_back_end const& event,
+                                       time_point now)
+{
+    connection_packet const& packet = event.packet;
+    this->monitor.heard(packet.ends, now);
+    connection_record const* found = this->table.find(packet.ends);
+    connection_record next =
+        found != nullptr ? *found
+                         : connection_record{.stage = connection_stage::open,
+                                             .route = packet.ends.service,
+                                             .since = now};
+    bool const was_unsure = found == nullptr ||
+                            found->stage == connection_stage::trial ||
+                            found->stage == connection_stage::foreign;
+    if (was_unsure)
+        effects.push_back(
+            this->note(tracking_result::adopted, packet.ends, {}));
+    if (packet.accepts || was_unsure)
+        next.stage = connection_stage::open;
+    bool const answers =
+        packet.size > 0 && next.stage == connection_stage::asked;
+    bool const ends = packet.finishes || packet.resets;
+    if (answers) {
+        effects.push_back(this->note(tracking_result::answered, packet.ends,
+                                     now - next.since));
+        next.stage = connection_stage::answered;
+    }
+    next.last_used = now;
+    next.target_sequence =
+        packet.sequence + packet.size + (packet.accepts ? 1U : 0U);
+    next.knows_sequence = true;
+    next.target_finished = next.target_finished || ends;
+    next.caller_finished = next.caller_finished || packet.resets;
+    this->table.put(packet.ends, next);
+    effects.push_back(pass_to_caller{packet.ends.caller, packet.bytes});
+    if (answers || ends) {
+        this->gate.finished(detail::slot_key(packet.ends), now);
+        this->start_waiting(effects, now);
+    }
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type& effects,
+                                       packet_returned const& event,
+                                       time_point now)
+{
+    connection_packet const& packet = event.packet;
+    connection_record const* found = this->table.find(packet.ends);
+    connection_record const record =
+        found != nullptr ? *found : connection_record{};
+    tracking_note note =
+        this->note(tracking_result::returned, packet.ends, now - record.since);
+    note.entry = record.entry;
+    this->gate.release(detail::slot_key(packet.ends));
+    bool const was_held = found != nullptr && !packet.opens &&
+                          record.knows_sequence &&
+                          record.stage != connection_stage::trial &&
+                          record.stage != connection_stage::foreign;
+    if (was_held) {
+        // It held the connection and no longer does: it has restarted.
+        note.result = tracking_result::gone;
+        this->table.erase(packet.ends);
+        effects.push_back(note);
+        if (!packet.resets)
+            effects.push_back(reset_connection{packet});
+        return;
+    }
+    effects.push_back(note);
+    if (packet.opens) {
+        this->monitor.refused(packet.ends, now);
+        this->table.erase(packet.ends);
+    } else {
+        connection_record next = record;
+        next.stage = connection_stage::foreign;
+        next.last_used = now;
+        this->table.put(packet.ends, next);
+    }
+    if (record.entry != peer_address{})
+        effects.push_back(answer_entry{
+            record.entry,
+            {{},
+             packet.opens ? offer_verdict::no_answer : offer_verdict::not_owner,
+             this->gate.load(),
+             this->gate.slots(),
+             packet.bytes}});
+    this->start_waiting(effects, now);
+}
+
+// ---- time ---------------------------------------------------------------
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type& effects, clock_tick const&,
+                                       time_point now)
+{
+    for (unanswered_open const& one : this->monitor.take_overdue(now)) {
+        connection_record const* record = this->table.find(one.ends);
+        if (record == nullptr || record->stage != connection_stage::opening)
+            continue;
+        tracking_note note =
+            this->note(tracking_result::unanswered, one.ends, now - one.at);
+        note.entry = record->entry;
+        effects.push_back(note);
+        effects.push_back(answer_entry{record->entry,
+                                       {{},
+                                        offer_verdict::no_answer,
+                                        this->gate.load(),
+                                        this->gate.slots(),
+                                        one.bytes}});
+        this->gate.release(detail::slot_key(one.ends));
+    }
+    for (waiting_request const& one : this->gate.take_expired(now)) {
+        std::optional<waiting_open> const open =
+            this->waiting.take(one.key.flow);
+        if (!open)
+            continue;
+        this->table.erase(open->packet.ends);
+        tracking_note note = this->note(tracking_result::refused,
+                                        open->packet.ends, now - one.arrived);
+        note.entry = open->entry;
+        note.copy = open->packet.copy;
+        effects.push_back(note);
+        effects.push_back(answer_entry{open->entry,
+                                       {{},
+                                        offer_verdict::refused,
+                                        this->gate.load(),
+                                        this->gate.slots(),
+                                        open->packet.bytes}});
+    }
+    this->expire_running(now);
+    this->start_waiting(effects, now);
+    this->table.sweep(now);
+}
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type&, stop_asked const&,
+                                       time_point now)
+{
+    if (!this->stopping_since)
+        this->stopping_since = now;
+}
+
+}  // namespace lagoon
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -6,7 +6,7 @@
 
 void write(packet_writer& out, packet_offer const& offer)
 {
-    out.begin(offer.terms ? 10 : 5, packet_kind::offer);
+    out.begin(offer.terms ? 11 : 5, packet_kind::offer);
     out.put(std::uint64_t{offer.question.value});
     out.put(offer.service.value);
     out.put(std::uint64_t{offer.slots});
@@ -18,6 +18,7 @@
     out.put(offer.terms->objective);
     out.put(offer.terms->deadline);
     out.put(std::uint64_t{offer.terms->priority});
+    out.put(offer.terms->age);
 }
 
 void write(packet_writer& out, offer_answer const& answer)
@@ -39,8 +40,8 @@
     peer_address const route = in.address();
     duration const objective = in.span();
     duration const deadline = in.span();
-    return {route, objective, deadline,
-            static_cast<std::uint8_t>(in.number(UINT8_MAX))};
+    auto const priority = static_cast<std::uint8_t>(in.number(UINT8_MAX));
+    return {route, objective, deadline, priority, in.span()};
 }
 
 }  // namespace
--- /dev/null
+++ b/tests/fakes/fake_connections.hpp
@@ -0,0 +1,1061 @@
+// The second front end of connections without tokens: real entries and targets
+// over a queue of events in virtual time, with callers, back ends, a network
+// and a platform that behave as the users' pages say. No socket, clock, thread
+// or codec.
+//
+// Index
+//   request_kind        what callers ask for
+//   finished_request    what became of a request
+//   connection_network  delays and losses
+//   fake_connections    the front end
+#pragma once
+
+#include "catalog/published.hpp"
+#include "entry/connection_entry.hpp"
+#include "target/connection_target.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lagoon::fakes {
+
+using namespace std::chrono_literals;
+
+// ---- request_kind -------------------------------------------------------
+
+struct request_kind
+{
+    peer_address route = {};     // what it connects to
+    std::string service = {};
+    duration work = 13ms;        // mean running time
+    duration objective = 100ms;
+    duration deadline = 1s;
+    std::uint8_t priority = 2;
+    bool is_idempotent = true;
+    double worth = 1;
+    double late_worth = 0.1;
+    auto operator<=>(request_kind const&) const = default;
+};
+
+// ---- finished_request ---------------------------------------------------
+
+enum class request_end : std::uint8_t
+{
+    pending,
+    in_time,  // within its objective
+    late,
+    failed
+};
+
+struct finished_request
+{
+    std::size_t kind = 0;
+    time_point begun = {};
+    time_point ended = {};
+    request_end end = request_end::pending;
+    std::uint32_t attempts = 0;
+    std::uint32_t runs = 0;  // at back ends
+    auto operator<=>(finished_request const&) const = default;
+};
+
+// ---- connection_network -------------------------------------------------
+
+struct connection_network
+{
+    duration to_callers = 3ms;        // one way
+    duration within_zone = 100us;     // one way
+    duration between_zones = 900us;   // one way
+    duration entry_cost = 300us;      // of an event, on 0.055 of a core
+    double lost = 0;                  // share of datagrams between our VMs
+    auto operator<=>(connection_network const&) const = default;
+};
+
+struct back_end_traits
+{
+    std::uint32_t slots = 2;
+    std::uint32_t queue = 8;  // beyond the slots; more is shed
+    duration cold_for = 2s;
+    double cold_factor = 1.6;  // slower while cold
+    duration handshake = 300us;
+    auto operator<=>(back_end_traits const&) const = default;
+};
+
+// ---- fake_connections ---------------------------------------------------
+
+template <placement_policy P = free_first, queue_policy Q = objective_queue>
+class fake_connections
+{
+public:
+    explicit fake_connections(std::uint64_t seed) : random(seed) {}
+
+    // -- what there is
+
+    std::size_t add_kind(request_kind const& kind)
+    {
+        this->kinds.push_back(kind);
+        return this->kinds.size() - 1;
+    }
+
+    // Entries and targets are numbered in the order in which they are added.
+    std::size_t add_entry(int zone)
+    {
+        std::size_t const index = this->entries.size();
+        this->entries.push_back({});
+        this->entries.back().zone = zone;
+        this->entries.back().address = {
+            entry_ip + static_cast<std::uint32_t>(index), peer_port};
+        this->start_entry(index);
+        return index;
+    }
+
+    std::size_t add_target(std::string const& service, int zone,
+                           back_end_traits traits = {})
+    {
+        std::size_t const index = this->targets.size();
+        target_node node{};
+        node.zone = zone;
+        node.service = service;
+        node.traits = traits;
+        node.address = {target_ip + static_cast<std::uint32_t>(index),
+                        packet_port};
+        this->targets.push_back(std::move(node));
+        this->start_target(index);
+        this->start_back_end(index);
+        return index;
+    }
+
+    // -- what happens to it
+
+    void start_entry(std::size_t index)
+    {
+        entry_node& node = this->entries[index];
+        connection_entry_settings settings = this->entry_settings;
+        settings.member.self = {1000 + index};
+        settings.member.exchange = node.address;
+        for (std::size_t i = 0; i < std::min<std::size_t>(3, index); ++i)
+            settings.member.seeds.push_back(this->entries[i].address);
+        settings.member.pace.platform_is_linearizable = true;
+        settings.member.pace.first_read_delay = {};
+        settings.member.pace.reading.retry = 120ms;
+        node.core = std::make_unique<connection_entry<seeded_random, P>>(
+            settings, seeded_random{this->random()}, this->time);
+        node.life = ++this->last_life;
+        node.paused = false;
+        node.busy_until = {};
+        this->feed_entry(index, clock_tick{});
+        this->schedule(tick_interval, [this, index, life = node.life] {
+            this->tick_entry(index, life);
+        });
+    }
+
+    void kill_entry(std::size_t index)
+    {
+        this->entries[index].core.reset();
+        this->entries[index].inbox.clear();
+    }
+
+    void pause_entry(std::size_t index)
+    {
+        this->entries[index].paused = true;
+    }
+
+    void wake_entry(std::size_t index)
+    {
+        entry_node& node = this->entries[index];
+        node.paused = false;
+        std::vector<connection_entry_event> waiting;
+        std::swap(waiting, node.inbox);
+        for (connection_entry_event const& event : waiting)
+            this->feed_entry(index, event);
+    }
+
+    void start_target(std::size_t index)
+    {
+        target_node& node = this->targets[index];
+        connection_target_settings settings = this->target_settings;
+        settings.service = service_named(node.service);
+        settings.knows_all = this->time == start_time;
+        node.core = std::make_unique<connection_target<Q>>(settings,
+                                                           this->time);
+        node.life = ++this->last_life;
+        this->schedule(tick_interval, [this, index, life = node.life] {
+            this->tick_target(index, life);
+        });
+    }
+
+    void kill_target(std::size_t index)
+    {
+        this->targets[index].core.reset();
+    }
+
+    void start_back_end(std::size_t index)
+    {
+        target_node& node = this->targets[index];
+        node.back_end = {};
+        node.back_end.alive = true;
+        node.back_end.life = ++this->last_life;
+        node.back_end.cold_until =
+            this->time == start_time ? this->time
+                                     : this->time + node.traits.cold_for;
+    }
+
+    void kill_back_end(std::size_t index)
+    {
+        this->targets[index].back_end = {};
+    }
+
+    // A back end that is this many times slower.
+    void slow_back_end(std::size_t index, double factor)
+    {
+        this->targets[index].back_end.factor = factor;
+    }
+
+    // Everything loses power and comes back after `dark`, each VM up to 300 ms
+    // later than the first.
+    void power_off_all(duration dark)
+    {
+        for (std::size_t i = 0; i < this->entries.size(); ++i) {
+            this->kill_entry(i);
+            this->schedule(this->after_dark(dark) + entry_start, [this, i] {
+                this->start_entry(i);
+            });
+        }
+        for (std::size_t i = 0; i < this->targets.size(); ++i) {
+            this->kill_target(i);
+            this->kill_back_end(i);
+            duration const up = this->after_dark(dark);
+            this->schedule(up + target_start, [this, i] {
+                this->start_target(i);
+            });
+            this->schedule(up + target_start, [this, i] {
+                this->start_back_end(i);
+            });
+        }
+    }
+
+    // The store's list, as it stands from now on.
+    void publish()
+    {
+        publication what{{++this->revision}, true, {}, {}};
+        for (std::size_t i = 0; i < this->targets.size(); ++i)
+            if (!this->unlisted.contains(i))
+                what.keys.push_back(this->key_of_target(i));
+        published_routes routes{this->revision, {}, 15s};
+        for (request_kind const& kind : this->kinds)
+            routes.routes.push_back({kind.route,
+                                     {{service_named(kind.service), 1}},
+                                     kind.objective,
+                                     kind.deadline,
+                                     kind.priority,
+                                     kind.is_idempotent});
+        what.routes = routes;
+        published_set set;
+        this->stored = *set.take(what, {});
+    }
+
+    // -- load
+
+    // Requests of a kind at this rate, from now on and for the span, spread
+    // over zones.
+    void load(std::size_t kind, double per_second, duration span, int zones)
+    {
+        this->next_arrival(kind, per_second, this->time + span, zones);
+    }
+
+    // -- time
+
+    void run_for(duration span)
+    {
+        time_point const until = this->time + span;
+        while (!this->events.empty() && this->events.top().at <= until) {
+            queued_event const event = this->events.top();
+            this->events.pop();
+            this->time = event.at;
+            event.what();
+        }
+        this->time = until;
+    }
+
+    time_point now() const
+    {
+        return this->time;
+    }
+
+    // -- what a test looks at
+
+    // Worth earned of worth owed, over the requests begun in a span.
+    double worth_between(time_point from, time_point upto) const
+    {
+        double earned = 0;
+        double owed = 0;
+        for (finished_request const& one : this->requests) {
+            if (one.begun < from || one.begun >= upto)
+                continue;
+            request_kind const& kind = this->kinds[one.kind];
+            owed += kind.worth;
+            earned += one.end == request_end::in_time ? kind.worth : 0;
+            earned += one.end == request_end::late
+                          ? kind.worth * kind.late_worth
+                          : 0;
+        }
+        return owed > 0 ? earned / owed : 1;
+    }
+
+    std::size_t count(request_end end, time_point from, time_point upto) const
+    {
+        std::size_t sum = 0;
+        for (finished_request const& one : this->requests)
+            sum += one.begun >= from && one.begun < upto && one.end == end;
+        return sum;
+    }
+
+    connection_entry<seeded_random, P>& entry_core(std::size_t index)
+    {
+        return *this->entries[index].core;
+    }
+
+    connection_target<Q>& target_core(std::size_t index)
+    {
+        return *this->targets[index].core;
+    }
+
+    peer_address target_address(std::size_t index) const
+    {
+        return this->targets[index].address;
+    }
+
+    // Opening packets that each back end accepted.
+    std::size_t accepted_by(std::size_t index) const
+    {
+        return this->targets[index].accepted;
+    }
+
+    std::vector<finished_request> requests = {};
+    std::vector<placement_note> placements = {};
+    std::vector<tracking_note> trackings = {};
+    std::vector<belief_note> beliefs = {};
+    std::vector<note_failure> failures = {};
+    connection_network network = {};
+    connection_entry_settings entry_settings = {};
+    connection_target_settings target_settings = {
+        .admission = {.slots = 1,
+                      .ahead = 2,
+                      .on_the_way = 12ms,
+                      .most_waiting_share = 0.5}};
+    std::set<std::size_t> withdrawn = {};  // entries that get no packets
+    std::set<std::size_t> unlisted = {};   // targets that aren't published
+    std::set<std::size_t> leaving = {};    // targets published as leaving
+    std::set<std::size_t> cut_entries = {};  // don't reach the platform
+    bool platform_up = true;
+    std::size_t platform_calls = 0;
+    std::size_t resets = 0;  // that reached callers
+    std::size_t foreign_packets = 0;  // that reached a wrong service
+    std::size_t clients_of_zone = 25;  // addresses that callers share
+    bool keeps_notes = false;
+
+    static constexpr time_point start_time{10s};
+
+private:
+    static constexpr std::uint32_t entry_ip = 0x0A010001;
+    static constexpr std::uint32_t target_ip = 0x0A020001;
+    static constexpr std::uint32_t caller_ip = 0x64400001;
+    static constexpr std::uint16_t peer_port = 7280;
+    static constexpr std::uint16_t packet_port = 8392;
+    static constexpr duration tick_interval = 100ms;
+    static constexpr duration platform_delay = 5ms;
+    static constexpr duration entry_start = 110ms;  // on 0.055 of a core
+    static constexpr duration target_start = 40ms;
+    static constexpr duration longest_start = 300ms;
+    static constexpr duration first_copy = 200ms;
+    static constexpr duration second_copy = 600ms;
+    static constexpr duration attempt_limit = 1400ms;
+    static constexpr std::uint32_t most_attempts = 3;
+    static constexpr std::uint32_t data_size = 100;  // bytes
+
+    struct queued_event
+    {
+        time_point at = {};
+        std::uint64_t order = 0;
+        std::function<void()> what = {};
+
+        bool operator<(queued_event const& other) const
+        {
+            if (this->at != other.at)
+                return this->at > other.at;
+            return this->order > other.order;
+        }
+    };
+
+    struct entry_node
+    {
+        int zone = 0;
+        peer_address address = {};
+        std::unique_ptr<connection_entry<seeded_random, P>> core = {};
+        std::uint64_t life = 0;
+        bool paused = false;
+        std::vector<connection_entry_event> inbox = {};
+        time_point tick_at = {};
+        time_point busy_until = {};
+    };
+
+    struct held_connection
+    {
+        std::uint32_t sequence = 0;
+        std::size_t request = 0;
+        auto operator<=>(held_connection const&) const = default;
+    };
+
+    struct fake_back_end
+    {
+        bool alive = false;
+        std::uint64_t life = 0;
+        time_point cold_until = {};
+        double factor = 1;
+        std::uint32_t running = 0;
+        std::vector<connection_ends> queue = {};
+        std::map<connection_ends, held_connection> held = {};
+    };
+
+    struct target_node
+    {
+        int zone = 0;
+        std::string service = {};
+        back_end_traits traits = {};
+        peer_address address = {};
+        std::unique_ptr<connection_target<Q>> core = {};
+        std::uint64_t life = 0;
+        fake_back_end back_end = {};
+        std::size_t accepted = 0;
+        time_point tick_at = {};
+    };
+
+    struct attempt
+    {
+        std::size_t request = 0;
+        int zone = 0;
+        bool opened = false;
+        bool over = false;
+        time_point begun = {};
+        std::uint32_t sequence = 0;  // that the owner said
+    };
+
+    // -- events
+
+    void schedule(duration after, std::function<void()> what)
+    {
+        this->events.push(
+            {this->time + after, ++this->last_order, std::move(what)});
+    }
+
+    double unit()
+    {
+        return std::uniform_real_distribution<double>{0, 1}(this->random);
+    }
+
+    duration after_dark(duration dark)
+    {
+        return dark + duration{static_cast<std::int64_t>(
+                          this->unit() * longest_start.count())};
+    }
+
+    duration hop(int from_zone, int to_zone) const
+    {
+        return from_zone == to_zone ? this->network.within_zone
+                                    : this->network.between_zones;
+    }
+
+    bool is_lost()
+    {
+        return this->network.lost > 0 && this->unit() < this->network.lost;
+    }
+
+    // -- packets: their bytes are their number
+
+    connection_packet make_packet(connection_packet packet)
+    {
+        packet.bytes = std::to_string(this->packets.size());
+        this->packets.push_back(packet);
+        return packet;
+    }
+
+    connection_packet const& packet_of(std::string const& bytes) const
+    {
+        return this->packets[std::stoul(bytes)];
+    }
+
+    // -- callers
+
+    void next_arrival(std::size_t kind, double per_second, time_point until,
+                      int zones)
+    {
+        double const gap = -std::log(1 - this->unit()) / per_second;
+        duration const after{static_cast<std::int64_t>(gap * 1e6)};
+        if (this->time + after >= until)
+            return;
+        this->schedule(after, [this, kind, per_second, until, zones] {
+            int const zone = static_cast<int>(this->unit() * zones);
+            this->requests.push_back(
+                {kind, this->time, {}, request_end::pending, 0, 0});
+            this->begin_attempt(this->requests.size() - 1, zone);
+            this->next_arrival(kind, per_second, until, zones);
+        });
+    }
+
+    // Each attempt comes from a port of its own, at the address of its caller.
+    connection_ends next_ends(std::size_t request, int zone)
+    {
+        auto const client = static_cast<std::uint32_t>(
+            request % this->clients_of_zone +
+            this->clients_of_zone * static_cast<std::size_t>(zone));
+        std::uint16_t& port = this->last_port[client];
+        port = port < 1024 ? 1024 : static_cast<std::uint16_t>(port + 1);
+        return {{caller_ip + client, port},
+                this->kinds[this->requests[request].kind].route};
+    }
+
+    void begin_attempt(std::size_t request, int zone)
+    {
+        finished_request& wish = this->requests[request];
+        request_kind const& kind = this->kinds[wish.kind];
+        time_point const deadline = wish.begun + kind.deadline;
+        if (wish.attempts >= most_attempts || this->time >= deadline) {
+            this->end_request(request, request_end::failed);
+            return;
+        }
+        ++wish.attempts;
+        std::size_t const number = this->attempts.size();
+        connection_ends const ends = this->next_ends(request, zone);
+        this->attempts.push_back({request, zone, false, false, this->time, 0});
+        this->attempt_of[ends] = number;
+        this->send_open(ends, 0);
+        this->schedule(first_copy, [this, ends] {
+            this->send_open(ends, 1);
+        });
+        this->schedule(second_copy, [this, ends] {
+            this->send_open(ends, 2);
+        });
+        this->schedule(std::min(attempt_limit, deadline - this->time),
+                       [this, ends] {
+                           this->give_up(ends);
+                       });
+    }
+
+    void send_open(connection_ends const& ends, std::uint8_t copy)
+    {
+        attempt const& one = this->attempts[this->attempt_of[ends]];
+        if (one.opened || one.over)
+            return;
+        this->send_in(ends, {.ends = ends, .opens = true, .copy = copy});
+    }
+
+    void give_up(connection_ends const& ends)
+    {
+        attempt& one = this->attempts[this->attempt_of[ends]];
+        finished_request const& wish = this->requests[one.request];
+        time_point const deadline =
+            wish.begun + this->kinds[wish.kind].deadline;
+        if (one.over || (one.opened && this->time < deadline))
+            return;
+        one.over = true;
+        this->begin_attempt(one.request, one.zone);
+    }
+
+    void end_request(std::size_t request, request_end end)
+    {
+        finished_request& wish = this->requests[request];
+        if (wish.end != request_end::pending)
+            return;
+        wish.end = end;
+        wish.ended = this->time;
+    }
+
+    // The router's choice: any entry in the caller's zone, else any at all.
+    std::optional<std::size_t> route(connection_ends const& ends, int zone)
+    {
+        std::vector<std::size_t> near;
+        std::vector<std::size_t> all;
+        for (std::size_t i = 0; i < this->entries.size(); ++i) {
+            if (this->withdrawn.contains(i))
+                continue;
+            all.push_back(i);
+            if (this->entries[i].zone == zone)
+                near.push_back(i);
+        }
+        std::vector<std::size_t> const& from = near.empty() ? all : near;
+        if (from.empty())
+            return std::nullopt;
+        return from[key_of(ends).value % from.size()];
+    }
+
+    void send_in(connection_ends const& ends, connection_packet const& packet)
+    {
+        int const zone = this->attempts[this->attempt_of[ends]].zone;
+        std::optional<std::size_t> const entry = this->route(ends, zone);
+        if (!entry)
+            return;
+        connection_packet const made = this->make_packet(packet);
+        this->schedule(this->network.to_callers, [this, entry, made] {
+            this->feed_entry(*entry, packet_from_caller{made});
+        });
+    }
+
+    void reach_caller(connection_packet const& packet)
+    {
+        auto const found = this->attempt_of.find(packet.ends);
+        if (found == this->attempt_of.end())
+            return;
+        attempt& one = this->attempts[found->second];
+        if (packet.accepts && !one.opened && !one.over) {
+            one.opened = true;
+            one.sequence = packet.sequence + 1;
+            this->send_in(packet.ends, {.ends = packet.ends,
+                                        .sequence = 1,
+                                        .acknowledged = one.sequence,
+                                        .size = data_size});
+        } else if (packet.size > 0 && one.opened && !one.over) {
+            one.over = true;
+            finished_request const& wish = this->requests[one.request];
+            bool const in_time = this->time - wish.begun <=
+                                 this->kinds[wish.kind].objective;
+            this->end_request(one.request, in_time ? request_end::in_time
+                                                   : request_end::late);
+            this->send_in(packet.ends,
+                          {.ends = packet.ends,
+                           .finishes = true,
+                           .sequence = 1 + data_size,
+                           .acknowledged = packet.sequence + packet.size});
+        }
+    }
+
+    void reach_caller_reset(connection_ends const& ends)
+    {
+        ++this->resets;
+        auto const found = this->attempt_of.find(ends);
+        if (found == this->attempt_of.end() ||
+            this->attempts[found->second].over)
+            return;
+        attempt& one = this->attempts[found->second];
+        request_kind const& kind =
+            this->kinds[this->requests[one.request].kind];
+        one.over = true;
+        if (one.opened && !kind.is_idempotent)
+            this->end_request(one.request, request_end::failed);
+        else
+            this->begin_attempt(one.request, one.zone);
+    }
+
+    // -- entries
+
+    // An entry does one thing after the other, each at a cost.
+    template <class Event> void feed_entry(std::size_t index, Event const& event)
+    {
+        entry_node& node = this->entries[index];
+        if (node.core == nullptr)
+            return;
+        node.busy_until = std::max(node.busy_until, this->time) +
+                          this->network.entry_cost;
+        this->schedule(node.busy_until - this->time,
+                       [this, index, life = node.life, event] {
+                           if (this->entries[index].life == life)
+                               this->handle_entry(index, event);
+                       });
+    }
+
+    template <class Event>
+    void handle_entry(std::size_t index, Event const& event)
+    {
+        entry_node& node = this->entries[index];
+        if (node.core == nullptr)
+            return;
+        if (node.paused) {
+            node.inbox.push_back(event);
+            return;
+        }
+        for (connection_entry_effect const& effect :
+             node.core->on(event, this->time))
+            std::visit(
+                [this, index](auto const& one) {
+                    this->perform_entry(index, one);
+                },
+                effect);
+        this->plan_entry_tick(index);
+    }
+
+    void plan_entry_tick(std::size_t index)
+    {
+        entry_node& node = this->entries[index];
+        std::optional<time_point> const due = node.core->next_due();
+        if (!due || (node.tick_at > this->time && node.tick_at <= *due))
+            return;
+        node.tick_at = std::max(*due, this->time);
+        this->schedule(node.tick_at - this->time, [this, index,
+                                                   life = node.life] {
+            if (this->entries[index].life == life)
+                this->feed_entry(index, clock_tick{});
+        });
+    }
+
+    void tick_entry(std::size_t index, std::uint64_t life)
+    {
+        entry_node const& node = this->entries[index];
+        if (node.life != life || node.core == nullptr)
+            return;
+        if (!node.paused)
+            this->feed_entry(index, clock_tick{});
+        this->schedule(tick_interval, [this, index, life] {
+            this->tick_entry(index, life);
+        });
+    }
+
+    void perform_entry(std::size_t index, send_offer const& effect)
+    {
+        std::size_t const target = effect.to.ip - target_ip;
+        if (target >= this->targets.size() || this->is_lost())
+            return;
+        duration const delay =
+            this->hop(this->entries[index].zone, this->targets[target].zone);
+        peer_address const from = this->entries[index].address;
+        this->schedule(delay, [this, target, from, offer = effect.offer] {
+            this->feed_target(target,
+                              offer_from_entry{from, offer,
+                                               this->packet_of(offer.bytes)});
+        });
+    }
+
+    void perform_entry(std::size_t, reset_caller const& effect)
+    {
+        this->schedule(this->network.to_callers,
+                       [this, ends = effect.packet.ends] {
+                           this->reach_caller_reset(ends);
+                       });
+    }
+
+    template <class Packet, class Effect>
+    void carry_to_peer(std::size_t index, Effect const& effect)
+    {
+        std::size_t const to = effect.to.ip - entry_ip;
+        if (to >= this->entries.size() || this->is_lost())
+            return;
+        Packet const packet{this->entries[index].address, effect.what};
+        this->schedule(
+            this->hop(this->entries[index].zone, this->entries[to].zone),
+            [this, to, packet] {
+                this->feed_entry(to, packet);
+            });
+    }
+
+    void perform_entry(std::size_t index, send_digest const& effect)
+    {
+        this->carry_to_peer<digest_packet>(index, effect);
+    }
+
+    void perform_entry(std::size_t index, send_news const& effect)
+    {
+        this->carry_to_peer<news_packet>(index, effect);
+    }
+
+    void perform_entry(std::size_t index, fetch_from_peer const& effect)
+    {
+        struct question
+        {
+            peer_address to = {};
+            change_request what = {};
+        };
+
+        this->carry_to_peer<change_request_packet>(
+            index, question{effect.exchange, {effect.since}});
+    }
+
+    // A watch comes back with the next change, or empty when it is over.
+    void perform_entry(std::size_t index, read_platform const& effect)
+    {
+        ++this->platform_calls;
+        std::uint64_t const life = this->entries[index].life;
+        if (!this->platform_up || this->cut_entries.contains(index)) {
+            this->schedule(platform_delay, [this, index, life] {
+                if (this->entries[index].life == life)
+                    this->feed_entry(
+                        index, change_missed{change_source::platform, {}});
+            });
+            return;
+        }
+        this->answer_read(index, life, effect, this->time + effect.lifetime);
+    }
+
+    void answer_read(std::size_t index, std::uint64_t life,
+                     read_platform const& effect, time_point until)
+    {
+        bool const is_newer = this->stored.to > effect.since;
+        bool const waits = effect.watch && !is_newer && this->time < until;
+        this->schedule(waits ? 20ms : platform_delay, [this, index, life,
+                                                       effect, until, waits] {
+            if (this->entries[index].life != life)
+                return;
+            if (waits) {
+                this->answer_read(index, life, effect, until);
+                return;
+            }
+            std::optional<catalog_change> change;
+            if (this->stored.to > effect.since)
+                change = this->stored;
+            this->feed_entry(
+                index, change_arrived{change_source::platform, {}, change});
+        });
+    }
+
+    void perform_entry(std::size_t, generation_adopted const&) {}
+
+    void perform_entry(std::size_t, note_failure const& note)
+    {
+        this->failures.push_back(note);
+    }
+
+    void perform_entry(std::size_t, placement_note const& note)
+    {
+        if (this->keeps_notes)
+            this->placements.push_back(note);
+    }
+
+    void perform_entry(std::size_t, belief_note const& note)
+    {
+        this->beliefs.push_back(note);
+    }
+
+    // -- targets
+
+    template <class Event>
+    void feed_target(std::size_t index, Event const& event)
+    {
+        target_node& node = this->targets[index];
+        if (node.core == nullptr)
+            return;
+        for (connection_target_effect const& effect :
+             node.core->on(event, this->time))
+            std::visit(
+                [this, index](auto const& one) {
+                    this->perform_target(index, one);
+                },
+                effect);
+        this->plan_target_tick(index);
+    }
+
+    void plan_target_tick(std::size_t index)
+    {
+        target_node& node = this->targets[index];
+        std::optional<time_point> const due = node.core->next_due(this->time);
+        if (!due || (node.tick_at > this->time && node.tick_at <= *due))
+            return;
+        node.tick_at = std::max(*due, this->time);
+        this->schedule(node.tick_at - this->time, [this, index,
+                                                   life = node.life] {
+            if (this->targets[index].life == life)
+                this->feed_target(index, clock_tick{});
+        });
+    }
+
+    void tick_target(std::size_t index, std::uint64_t life)
+    {
+        if (this->targets[index].life != life ||
+            this->targets[index].core == nullptr)
+            return;
+        this->feed_target(index, clock_tick{});
+        this->schedule(tick_interval, [this, index, life] {
+            this->tick_target(index, life);
+        });
+    }
+
+    void perform_target(std::size_t index, answer_entry const& effect)
+    {
+        std::size_t const to = effect.to.ip - entry_ip;
+        if (to >= this->entries.size() || this->is_lost())
+            return;
+        std::optional<connection_packet> returned;
+        if (!effect.answer.bytes.empty())
+            returned = this->packet_of(effect.answer.bytes);
+        answer_from_target const event{this->targets[index].address,
+                                       effect.answer, returned};
+        this->schedule(
+            this->hop(this->targets[index].zone, this->entries[to].zone),
+            [this, to, event] {
+                this->feed_entry(to, event);
+            });
+    }
+
+    void perform_target(std::size_t, pass_to_caller const& effect)
+    {
+        this->schedule(this->network.to_callers, [this, bytes = effect.bytes] {
+            this->reach_caller(this->packet_of(bytes));
+        });
+    }
+
+    void perform_target(std::size_t, reset_connection const& effect)
+    {
+        this->schedule(this->network.to_callers,
+                       [this, ends = effect.packet.ends] {
+                           this->reach_caller_reset(ends);
+                       });
+    }
+
+    void perform_target(std::size_t, tracking_note const& note)
+    {
+        if (this->keeps_notes)
+            this->trackings.push_back(note);
+    }
+
+    // -- back ends
+
+    void perform_target(std::size_t index, send_to_back_end const& effect)
+    {
+        connection_packet const packet = this->packet_of(effect.bytes);
+        fake_back_end& back_end = this->targets[index].back_end;
+        if (!back_end.alive)
+            return;
+        auto const held = back_end.held.find(packet.ends);
+        if (packet.opens)
+            this->accept(index, packet);
+        else if (held == back_end.held.end())
+            this->from_back_end(index, packet, true);
+        else if (packet.size > 0)
+            this->take_request(index, packet);
+    }
+
+    void from_back_end(std::size_t index, connection_packet const& packet,
+                       bool returned)
+    {
+        std::uint64_t const life = this->targets[index].back_end.life;
+        connection_packet const made = this->make_packet(packet);
+        this->schedule(50us, [this, index, life, made, returned] {
+            if (this->targets[index].back_end.life != life)
+                return;
+            if (returned)
+                this->feed_target(index, packet_returned{made});
+            else
+                this->feed_target(index, packet_from_back_end{made});
+        });
+    }
+
+    void accept(std::size_t index, connection_packet const& packet)
+    {
+        target_node& node = this->targets[index];
+        std::size_t const request =
+            this->attempts[this->attempt_of[packet.ends]].request;
+        std::string const& wanted =
+            this->kinds[this->requests[request].kind].service;
+        this->foreign_packets += wanted != node.service;
+        auto const [held, is_new] = node.back_end.held.emplace(
+            packet.ends,
+            held_connection{static_cast<std::uint32_t>(this->random()),
+                            request});
+        node.accepted += is_new;
+        this->from_back_end(index,
+                            {.ends = packet.ends,
+                             .accepts = true,
+                             .sequence = held->second.sequence},
+                            false);
+    }
+
+    void take_request(std::size_t index, connection_packet const& packet)
+    {
+        fake_back_end& back_end = this->targets[index].back_end;
+        back_end_traits const& traits = this->targets[index].traits;
+        if (back_end.running < traits.slots)
+            this->run(index, packet.ends);
+        else if (back_end.queue.size() < traits.queue)
+            back_end.queue.push_back(packet.ends);
+        else
+            this->answer_caller(index, packet.ends);
+    }
+
+    // Lognormal with a tail: one request in 33 runs seven times longer.
+    duration running_time(std::size_t index, std::size_t kind)
+    {
+        constexpr double spread = 0.5;
+        target_node const& node = this->targets[index];
+        double const mean =
+            static_cast<double>(this->kinds[kind].work.count());
+        std::lognormal_distribution<double> shape{-spread * spread / 2,
+                                                  spread};
+        double time = mean * shape(this->random);
+        if (this->unit() < 0.03)
+            time *= 7;
+        if (this->time < node.back_end.cold_until)
+            time *= node.traits.cold_factor;
+        return duration{
+            static_cast<std::int64_t>(time * node.back_end.factor)};
+    }
+
+    void run(std::size_t index, connection_ends const& ends)
+    {
+        fake_back_end& back_end = this->targets[index].back_end;
+        std::size_t const request = back_end.held.at(ends).request;
+        ++back_end.running;
+        ++this->requests[request].runs;
+        std::uint64_t const life = back_end.life;
+        this->schedule(
+            this->running_time(index, this->requests[request].kind),
+            [this, index, life, ends] {
+                fake_back_end& later = this->targets[index].back_end;
+                if (later.life != life)
+                    return;
+                --later.running;
+                this->answer_caller(index, ends);
+                if (later.queue.empty())
+                    return;
+                connection_ends const next = later.queue.front();
+                later.queue.erase(later.queue.begin());
+                this->run(index, next);
+            });
+    }
+
+    void answer_caller(std::size_t index, connection_ends const& ends)
+    {
+        held_connection const held =
+            this->targets[index].back_end.held.at(ends);
+        this->from_back_end(index,
+                            {.ends = ends,
+                             .finishes = true,
+                             .sequence = held.sequence + 1,
+                             .acknowledged = 1 + data_size,
+                             .size = 1000},
+                            false);
+    }
+
+    published_key key_of_target(std::size_t index) const
+    {
+        target_node const& node = this->targets[index];
+        return {"t" + std::to_string(index),
+                published_target{node.service,
+                                 "z" + std::to_string(node.zone),
+                                 node.address,
+                                 node.traits.slots,
+                                 node.back_end.life,
+                                 {node.back_end.life},
+                                 this->leaving.contains(index)
+                                     ? target_state::leaving
+                                     : target_state::serving}};
+    }
+
+    seeded_random random;
+    time_point time = start_time;
+    std::uint64_t last_order = 0;
+    std::uint64_t last_life = 0;
+    std::uint64_t revision = 0;
+    std::priority_queue<queued_event> events = {};
+    std::vector<request_kind> kinds = {};
+    std::vector<entry_node> entries = {};
+    std::vector<target_node> targets = {};
+    std::vector<attempt> attempts = {};
+    std::map<connection_ends, std::size_t> attempt_of = {};
+    std::map<std::uint32_t, std::uint16_t> last_port = {};  // by client
+    std::vector<connection_packet> packets = {};
+    catalog_change stored = {};
+};
+
+}  // namespace lagoon::fakes
