--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -178,8 +178,8 @@
 {
     if (packet.copy > 0)
         return {now, now - detail::age_of_copy(packet.copy)};
-    std::optional<time_point> const begun = this->repeats.take(
-        packet.ends.caller.ip, packet.ends.service, now);
+    std::optional<time_point> const begun =
+        this->repeats.take(packet.ends.caller.ip, packet.ends.service, now);
     return {now, begun.value_or(now)};
 }
 
@@ -294,8 +294,7 @@
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::hold(effects_type& effects,
                                   connection_packet const& packet,
-                                  open_times times,
-                                  time_point now)
+                                  open_times times, time_point now)
 {
     bool const is_over = now + this->settings.retry_interval - times.arrived >
                              this->settings.longest_hold ||
@@ -349,14 +348,14 @@
     bool const opens = what.packet.opens;
     // A target that stayed silent may have taken the opening packet as well.
     bool const is_sure = !opens || what.silent == 0;
-    owner_record const owner{
-        .target = what.target,
-        .service = what.service,
-        .is_sure = is_sure,
-        .is_finished = what.packet.finishes || what.packet.resets,
-        .placed_at = what.arrived,
-        .begun = what.begun,
-        .last_used = now};
+    owner_record const owner{.target = what.target,
+                             .service = what.service,
+                             .is_sure = is_sure,
+                             .is_finished =
+                                 what.packet.finishes || what.packet.resets,
+                             .placed_at = what.arrived,
+                             .begun = what.begun,
+                             .last_used = now};
     bool const has_room = this->owners.note(what.packet.ends, owner);
     if (!has_room && !this->owners_full)
         effects.push_back(belief_note{belief::table_full, {}, {}});
@@ -440,8 +439,8 @@
     }
     if (event.answer.verdict != offer_verdict::not_owner)
         this->hints.avoid(event.from, detail::unusable_avoidance, now);
-    placement_note note = this->note(placement_result::returned, packet.ends,
-                                     times.arrived, now);
+    placement_note note =
+        this->note(placement_result::returned, packet.ends, times.arrived, now);
     note.target = event.from;
     effects.push_back(note);
     if (this->placing.is_placing(packet.ends))
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -269,8 +269,8 @@
     if (too_soon || !wanted)
         return;
     // The first read, and the first after a pause, doesn't wait for a change.
-    bool const may_wait = plan.watches && !first && !this->needs_whole &&
-                          this->platform_compared;
+    bool const may_wait =
+        plan.watches && !first && !this->needs_whole && this->platform_compared;
     generation const since =
         this->needs_whole ? generation{} : known.version().number;
     this->watching = may_wait ? plan.watch : duration{};
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -155,9 +155,8 @@
 placing_outcome placer<P>::fail(placing_record const& record, bool refused)
 {
     return placing_failed{
-        record.wish.packet, record.wish.service, refused,
-        record.asked,       record.silent,       record.wish.arrived,
-        record.wish.begun};
+        record.wish.packet, record.wish.service, refused,          record.asked,
+        record.silent,      record.wish.arrived, record.wish.begun};
 }
 
 template <placement_policy P>
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -32,9 +32,9 @@
 
 struct request_kind
 {
-    peer_address route = {};     // what it connects to
+    peer_address route = {};  // what it connects to
     std::string service = {};
-    duration work = 13ms;        // mean running time
+    duration work = 13ms;  // mean running time
     duration objective = 100ms;
     duration deadline = 1s;
     std::uint8_t priority = 2;
@@ -69,11 +69,11 @@
 
 struct connection_network
 {
-    duration to_callers = 3ms;        // one way
-    duration within_zone = 100us;     // one way
-    duration between_zones = 900us;   // one way
-    duration entry_cost = 300us;      // of an event, on 0.055 of a core
-    double lost = 0;                  // share of datagrams between our VMs
+    duration to_callers = 3ms;       // one way
+    duration within_zone = 100us;    // one way
+    duration between_zones = 900us;  // one way
+    duration entry_cost = 300us;     // of an event, on 0.055 of a core
+    double lost = 0;                 // share of datagrams between our VMs
     auto operator<=>(connection_network const&) const = default;
 };
 
@@ -182,8 +182,8 @@
         connection_target_settings settings = this->target_settings;
         settings.service = service_named(node.service);
         settings.knows_all = this->time == start_time;
-        node.core = std::make_unique<connection_target<Q>>(settings,
-                                                           this->time);
+        node.core =
+            std::make_unique<connection_target<Q>>(settings, this->time);
         node.life = ++this->last_life;
         this->schedule(tick_interval, [this, index, life = node.life] {
             this->tick_target(index, life);
@@ -201,9 +201,9 @@
         node.back_end = {};
         node.back_end.alive = true;
         node.back_end.life = ++this->last_life;
-        node.back_end.cold_until =
-            this->time == start_time ? this->time
-                                     : this->time + node.traits.cold_for;
+        node.back_end.cold_until = this->time == start_time
+                                       ? this->time
+                                       : this->time + node.traits.cold_for;
     }
 
     void kill_back_end(std::size_t index)
@@ -301,9 +301,8 @@
             request_kind const& kind = this->kinds[one.kind];
             owed += kind.worth;
             earned += one.end == request_end::in_time ? kind.worth : 0;
-            earned += one.end == request_end::late
-                          ? kind.worth * kind.late_worth
-                          : 0;
+            earned +=
+                one.end == request_end::late ? kind.worth * kind.late_worth : 0;
         }
         return owed > 0 ? earned / owed : 1;
     }
@@ -349,14 +348,14 @@
                       .ahead = 2,
                       .on_the_way = 12ms,
                       .most_waiting_share = 0.5}};
-    std::set<std::size_t> withdrawn = {};  // entries that get no packets
-    std::set<std::size_t> unlisted = {};   // targets that aren't published
-    std::set<std::size_t> leaving = {};    // targets published as leaving
+    std::set<std::size_t> withdrawn = {};    // entries that get no packets
+    std::set<std::size_t> unlisted = {};     // targets that aren't published
+    std::set<std::size_t> leaving = {};      // targets published as leaving
     std::set<std::size_t> cut_entries = {};  // don't reach the platform
     bool platform_up = true;
     std::size_t platform_calls = 0;
-    std::size_t resets = 0;  // that reached callers
-    std::size_t foreign_packets = 0;  // that reached a wrong service
+    std::size_t resets = 0;            // that reached callers
+    std::size_t foreign_packets = 0;   // that reached a wrong service
     std::size_t clients_of_zone = 25;  // addresses that callers share
     bool keeps_notes = false;
 
@@ -622,8 +621,8 @@
         } else if (packet.size > 0 && one.opened && !one.over) {
             one.over = true;
             finished_request const& wish = this->requests[one.request];
-            bool const in_time = this->time - wish.begun <=
-                                 this->kinds[wish.kind].objective;
+            bool const in_time =
+                this->time - wish.begun <= this->kinds[wish.kind].objective;
             this->end_request(one.request, in_time ? request_end::in_time
                                                    : request_end::late);
             this->send_in(packet.ends,
@@ -654,13 +653,14 @@
     // -- entries
 
     // An entry does one thing after the other, each at a cost.
-    template <class Event> void feed_entry(std::size_t index, Event const& event)
+    template <class Event>
+    void feed_entry(std::size_t index, Event const& event)
     {
         entry_node& node = this->entries[index];
         if (node.core == nullptr)
             return;
-        node.busy_until = std::max(node.busy_until, this->time) +
-                          this->network.entry_cost;
+        node.busy_until =
+            std::max(node.busy_until, this->time) + this->network.entry_cost;
         this->schedule(node.busy_until - this->time,
                        [this, index, life = node.life, event] {
                            if (this->entries[index].life == life)
@@ -695,11 +695,11 @@
         if (!due || (node.tick_at > this->time && node.tick_at <= *due))
             return;
         node.tick_at = std::max(*due, this->time);
-        this->schedule(node.tick_at - this->time, [this, index,
-                                                   life = node.life] {
-            if (this->entries[index].life == life)
-                this->feed_entry(index, clock_tick{});
-        });
+        this->schedule(node.tick_at - this->time,
+                       [this, index, life = node.life] {
+                           if (this->entries[index].life == life)
+                               this->feed_entry(index, clock_tick{});
+                       });
     }
 
     void tick_entry(std::size_t index, std::uint64_t life)
@@ -723,9 +723,9 @@
             this->hop(this->entries[index].zone, this->targets[target].zone);
         peer_address const from = this->entries[index].address;
         this->schedule(delay, [this, target, from, offer = effect.offer] {
-            this->feed_target(target,
-                              offer_from_entry{from, offer,
-                                               this->packet_of(offer.bytes)});
+            this->feed_target(
+                target,
+                offer_from_entry{from, offer, this->packet_of(offer.bytes)});
         });
     }
 
@@ -853,11 +853,11 @@
         if (!due || (node.tick_at > this->time && node.tick_at <= *due))
             return;
         node.tick_at = std::max(*due, this->time);
-        this->schedule(node.tick_at - this->time, [this, index,
-                                                   life = node.life] {
-            if (this->targets[index].life == life)
-                this->feed_target(index, clock_tick{});
-        });
+        this->schedule(node.tick_at - this->time,
+                       [this, index, life = node.life] {
+                           if (this->targets[index].life == life)
+                               this->feed_target(index, clock_tick{});
+                       });
     }
 
     void tick_target(std::size_t index, std::uint64_t life)
@@ -978,17 +978,14 @@
     {
         constexpr double spread = 0.5;
         target_node const& node = this->targets[index];
-        double const mean =
-            static_cast<double>(this->kinds[kind].work.count());
-        std::lognormal_distribution<double> shape{-spread * spread / 2,
-                                                  spread};
+        double const mean = static_cast<double>(this->kinds[kind].work.count());
+        std::lognormal_distribution<double> shape{-spread * spread / 2, spread};
         double time = mean * shape(this->random);
         if (this->unit() < 0.03)
             time *= 7;
         if (this->time < node.back_end.cold_until)
             time *= node.traits.cold_factor;
-        return duration{
-            static_cast<std::int64_t>(time * node.back_end.factor)};
+        return duration{static_cast<std::int64_t>(time * node.back_end.factor)};
     }
 
     void run(std::size_t index, connection_ends const& ends)
@@ -998,20 +995,19 @@
         ++back_end.running;
         ++this->requests[request].runs;
         std::uint64_t const life = back_end.life;
-        this->schedule(
-            this->running_time(index, this->requests[request].kind),
-            [this, index, life, ends] {
-                fake_back_end& later = this->targets[index].back_end;
-                if (later.life != life)
-                    return;
-                --later.running;
-                this->answer_caller(index, ends);
-                if (later.queue.empty())
-                    return;
-                connection_ends const next = later.queue.front();
-                later.queue.erase(later.queue.begin());
-                this->run(index, next);
-            });
+        this->schedule(this->running_time(index, this->requests[request].kind),
+                       [this, index, life, ends] {
+                           fake_back_end& later = this->targets[index].back_end;
+                           if (later.life != life)
+                               return;
+                           --later.running;
+                           this->answer_caller(index, ends);
+                           if (later.queue.empty())
+                               return;
+                           connection_ends const next = later.queue.front();
+                           later.queue.erase(later.queue.begin());
+                           this->run(index, next);
+                       });
     }
 
     void answer_caller(std::size_t index, connection_ends const& ends)
