Search everywhere before a restarted target tries its back end

Cause: a target process that has just restarted knows no connection and tried every unknown packet at its back end. Packets of other targets' connections that were searched along the ranking reached a back end that isn't their owner; three of them while none reaches the owner break a connection.

Change: a target that isn't sure says so; the entry asks all others first and insists at the unsure ones in the end. Stories for the target and for placing; the fake callers send their data again, as real ones do.

Ruled out: trying only where the first of the ranking is unsure (a connection queued elsewhere at the crest would be lost).

--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -126,7 +126,7 @@
     enum class choice_state : std::uint8_t
     {
         untried,
-        busy,  // said that every slot is taken
+        busy,  // would take it only if it must
         out    // asked in vain
     };
 
@@ -143,7 +143,7 @@
         placing_wish wish = {};
         std::vector<choice> choices = {};
         std::size_t at = 0;  // the choice that was asked
-        bool may_wait = false;
+        bool insists = false;
         question_id question = {};
         std::uint32_t asked = 0;
         std::uint32_t busy = 0;
@@ -166,8 +166,9 @@
     placing_outcome go_on(placing_record& record, time_point now);
     std::optional<std::size_t> next_choice(placing_record const& record) const;
     std::optional<std::size_t> least_loaded(placing_record const& record) const;
-    placing_outcome ask(placing_record& record, std::size_t index,
-                        bool may_wait, time_point now);
+    std::optional<std::size_t> first_unsure(placing_record const& record) const;
+    placing_outcome ask(placing_record& record, std::size_t index, bool insists,
+                        time_point now);
     placing_outcome fail(placing_record const& record, bool refused);
     placing_outcome settle(placing_record const& record,
                            offer_answer const& answer);
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -109,14 +109,26 @@
     return best;
 }
 
+template <placement_policy P>
+std::optional<std::size_t>
+placer<P>::first_unsure(placing_record const& record) const
+{
+    for (std::size_t i = 0; i < record.choices.size(); ++i)
+        if (record.choices[i].state == choice_state::busy)
+            return i;
+    return std::nullopt;
+}
+
 template <placement_policy P>
 placing_outcome placer<P>::go_on(placing_record& record, time_point now)
 {
     bool const opens = record.wish.packet.opens;
     if (std::optional<std::size_t> const next = this->next_choice(record))
         return this->ask(record, *next, opens && P::probes == 0, now);
-    if (std::optional<std::size_t> const least = this->least_loaded(record))
-        return this->ask(record, *least, true, now);
+    std::optional<std::size_t> const last =
+        opens ? this->least_loaded(record) : this->first_unsure(record);
+    if (last)
+        return this->ask(record, *last, true, now);
     placing_outcome const failed = this->fail(record, false);
     this->records.erase(record.wish.packet.ends);
     return failed;
@@ -124,14 +136,14 @@
 
 template <placement_policy P>
 placing_outcome placer<P>::ask(placing_record& record, std::size_t index,
-                               bool may_wait, time_point now)
+                               bool insists, time_point now)
 {
     placing_wish const& wish = record.wish;
     choice& one = record.choices[index];
     // Until it answers it counts as asked in vain.
     one.state = choice_state::out;
     record.at = index;
-    record.may_wait = may_wait;
+    record.insists = insists;
     record.asked += 1;
     record.question = {++this->last_question};
     if (this->last_question == 0)
@@ -145,8 +157,8 @@
         terms->age = now - wish.begun;
     }
     return ask_target{one.target.address,
-                      {record.question, wish.service, one.target.slots,
-                       may_wait, terms, wish.packet.bytes}};
+                      {record.question, wish.service, one.target.slots, insists,
+                       terms, wish.packet.bytes}};
 }
 
 // ---- outcomes -----------------------------------------------------------
@@ -225,7 +237,9 @@
         this->records.erase(record.wish.packet.ends);
         return failed;
     }
-    if (answer.verdict == offer_verdict::busy && !record.may_wait) {
+    bool const would_if_it_must = answer.verdict == offer_verdict::busy ||
+                                  answer.verdict == offer_verdict::unsure;
+    if (would_if_it_must && !record.insists) {
         one.state = choice_state::busy;
         one.load = answer.load;
         record.busy += 1;
--- a/src/protocol/relay.cpp
+++ b/src/protocol/relay.cpp
@@ -13,6 +13,8 @@
         return "busy";
     case offer_verdict::not_owner:
         return "not_owner";
+    case offer_verdict::unsure:
+        return "unsure";
     case offer_verdict::wrong_service:
         return "wrong_service";
     case offer_verdict::leaving:
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -42,7 +42,8 @@
     question_id question = {};
     service_id service = {};
     std::uint32_t slots = 0;  // of the target, as published; 0: not told
-    bool may_wait = false;    // it may wait for a slot
+    bool insists =
+        false;  // as a last resort: queue it, or try it at the back end
     std::optional<request_terms> terms = {};  // with an opening packet
     std::string bytes = {};                   // the caller's packet
     auto operator<=>(packet_offer const&) const = default;
@@ -56,6 +57,7 @@
     waiting,        // it is, and waits for a slot
     busy,           // every slot is taken: another target may have one
     not_owner,      // the connection is another's
+    unsure,         // not known here, but the back end may hold it
     wrong_service,  // this target serves another service
     leaving,        // it takes no new connections
     no_answer,      // its back end doesn't answer
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -193,7 +193,7 @@
 {
     this->expire_running(now);
     bool const is_free = this->gate.has_free_slot(now);
-    if (!is_free && !event.offer.may_wait) {
+    if (!is_free && !event.offer.insists) {
         this->answer(effects, event, offer_verdict::busy, false, now);
         return;
     }
@@ -310,6 +310,12 @@
         this->answer(effects, event, offer_verdict::not_owner, true, now);
         return;
     }
+    bool const may_try =
+        event.offer.insists || event.offer.question == question_id{};
+    if (record == nullptr && !may_try) {
+        this->answer(effects, event, offer_verdict::unsure, true, now);
+        return;
+    }
     if (record == nullptr) {
         // This process is younger than the connection may be: the back end
         // itself knows.
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -10,7 +10,7 @@
     out.put(std::uint64_t{offer.question.value});
     out.put(offer.service.value);
     out.put(std::uint64_t{offer.slots});
-    out.put(std::uint64_t{offer.may_wait ? 1U : 0U});
+    out.put(std::uint64_t{offer.insists ? 1U : 0U});
     out.put(std::string_view{offer.bytes});
     if (!offer.terms)
         return;
@@ -52,12 +52,12 @@
         static_cast<std::uint32_t>(in.number(UINT32_MAX))};
     service_id const service{in.number()};
     auto const slots = static_cast<std::uint32_t>(in.number(UINT32_MAX));
-    bool const may_wait = in.number(1) == 1;
+    bool const insists = in.number(1) == 1;
     std::string_view const bytes = in.bytes(max_datagram_size);
     std::optional<request_terms> terms;
     if (in.has_more())
         terms = read_terms(in);
-    return {question, service, slots, may_wait, terms, std::string{bytes}};
+    return {question, service, slots, insists, terms, std::string{bytes}};
 }
 
 offer_answer read_offer_answer(field_reader& in)
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -408,6 +408,8 @@
     {
         std::uint32_t sequence = 0;
         std::size_t request = 0;
+        bool asked = false;
+        bool answered = false;
         auto operator<=>(held_connection const&) const = default;
     };
 
@@ -614,10 +616,7 @@
         if (packet.accepts && !one.opened && !one.over) {
             one.opened = true;
             one.sequence = packet.sequence + 1;
-            this->send_in(packet.ends, {.ends = packet.ends,
-                                        .sequence = 1,
-                                        .acknowledged = one.sequence,
-                                        .size = data_size});
+            this->send_request(packet.ends, first_copy);
         } else if (packet.size > 0 && one.opened && !one.over) {
             one.over = true;
             finished_request const& wish = this->requests[one.request];
@@ -633,6 +632,23 @@
         }
     }
 
+    // Sent again at doubling intervals until it is answered.
+    void send_request(connection_ends const& ends, duration repeat_after)
+    {
+        attempt const& one = this->attempts[this->attempt_of[ends]];
+        finished_request const& wish = this->requests[one.request];
+        duration const deadline = this->kinds[wish.kind].deadline;
+        if (one.over || this->time - wish.begun > deadline)
+            return;
+        this->send_in(ends, {.ends = ends,
+                             .sequence = 1,
+                             .acknowledged = one.sequence,
+                             .size = data_size});
+        this->schedule(repeat_after, [this, ends, repeat_after] {
+            this->send_request(ends, 2 * repeat_after);
+        });
+    }
+
     void reach_caller_reset(connection_ends const& ends)
     {
         ++this->resets;
@@ -965,6 +981,12 @@
     {
         fake_back_end& back_end = this->targets[index].back_end;
         back_end_traits const& traits = this->targets[index].traits;
+        held_connection& held = back_end.held.at(packet.ends);
+        if (held.answered)
+            this->answer_caller(index, packet.ends);
+        if (held.asked)
+            return;
+        held.asked = true;
         if (back_end.running < traits.slots)
             this->run(index, packet.ends);
         else if (back_end.queue.size() < traits.queue)
@@ -1012,8 +1034,8 @@
 
     void answer_caller(std::size_t index, connection_ends const& ends)
     {
-        held_connection const held =
-            this->targets[index].back_end.held.at(ends);
+        held_connection& held = this->targets[index].back_end.held.at(ends);
+        held.answered = true;
         this->from_back_end(index,
                             {.ends = ends,
                              .finishes = true,
