Take copies to the owner; search the whole ranking again

The busy owner, where the first packet waited, was passed over; another target refused the copy, and the caller was reset while its first packet went on to wait and took a slot later.

Change 1: a copy goes to the target that has the first one, whatever its load. Change 2: a search asks the whole ranking; what is bounded is the number of back ends that are tried (16), and nobody far is asked where the eight nearest have all just started.

Ruled out: the owner's entry gone from the store (it lives until it has left).

Stories fail without each.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -40,10 +40,17 @@
     auto operator<=>(answer_from_target const&) const = default;
 };
 
+// The settings name other peers to ask first.
+struct seeds_changed
+{
+    std::vector<peer_address> seeds = {};
+    auto operator<=>(seeds_changed const&) const = default;
+};
+
 using connection_entry_event =
     std::variant<packet_from_caller, answer_from_target, digest_packet,
                  news_packet, change_request_packet, change_arrived,
-                 change_missed, clock_tick, stop_asked>;
+                 change_missed, clock_tick, stop_asked, seeds_changed>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -187,6 +194,8 @@
                   time_point now);
     void on_event(effects_type& effects, stop_asked const& event,
                   time_point now);
+    void on_event(effects_type& effects, seeds_changed const& event,
+                  time_point now);
 
     open_times times_of(connection_packet const& packet, time_point now);
     void place(effects_type& effects, connection_packet const& packet,
@@ -198,8 +207,7 @@
     void search_again(effects_type& effects, connection_packet const& packet,
                       peer_address returned_by, time_point now);
     void search_among(effects_type& effects, connection_packet const& packet,
-                      service_id service, std::vector<placing_target> targets,
-                      time_point now);
+                      search_record const& among, time_point now);
     void lose(effects_type& effects, placement_note const& note,
               time_point now);
     void begin(effects_type& effects, placing_wish const& wish, time_point now);
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -249,8 +249,14 @@
     request_terms const terms{
         route->address, route->objective, route->deadline, route->priority, {}};
     this->begin(effects,
-                {packet, *service, terms, std::move(targets), times.arrived,
-                 times.begun},
+                {packet,
+                 *service,
+                 terms,
+                 std::move(targets),
+                 is_copy,
+                 times.arrived,
+                 times.begun,
+                 {}},
                 now);
 }
 
@@ -276,22 +282,27 @@
             this->note(placement_result::owner_lost, packet.ends, now, now));
         return;
     }
-    this->search_among(
-        effects, packet, *service,
-        detail::placing_targets(rank_owners(*part, key_of(packet.ends)), first,
-                                last),
-        now);
+    search_record among{};
+    among.service = *service;
+    among.left = detail::placing_targets(
+        rank_owners(*part, key_of(packet.ends)), first, last);
+    this->search_among(effects, packet, among, now);
 }
 
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::search_among(effects_type& effects,
                                           connection_packet const& packet,
-                                          service_id service,
-                                          std::vector<placing_target> targets,
+                                          search_record const& among,
                                           time_point now)
 {
-    this->begin(effects, {packet, service, {}, std::move(targets), now, now},
-                now);
+    placing_wish wish{};
+    wish.packet = packet;
+    wish.service = among.service;
+    wish.ranked = among.left;
+    wish.arrived = now;
+    wish.begun = now;
+    wish.progress = among.progress;
+    this->begin(effects, wish, now);
 }
 
 // The target that was believed to own the connection doesn't. A search that led
@@ -312,7 +323,7 @@
             this->note(placement_result::owner_lost, packet.ends, now, now),
             now);
     else
-        this->search_among(effects, packet, begun->service, begun->left, now);
+        this->search_among(effects, packet, *begun, now);
 }
 
 template <random_source R, placement_policy P>
@@ -400,7 +411,8 @@
         effects.push_back(belief_note{belief::table_full, {}, {}});
     this->owners_full = !has_room;
     if (!opens)
-        this->searches.tries(what.packet.ends, what.service, what.left, now);
+        this->searches.tries(what.packet.ends, {false, what.service, what.left,
+                                                what.progress, now});
     placement_note note = this->note(opens ? placement_result::placed
                                            : placement_result::owner_found,
                                      what.packet.ends, what.arrived, now);
@@ -615,4 +627,11 @@
     this->stopping = true;
 }
 
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type&, seeds_changed const& event,
+                                      time_point)
+{
+    this->member.set_seeds(event.seeds);
+}
+
 }  // namespace lagoon
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -147,6 +147,9 @@
     // Whether the platform answered this process's last read.
     bool reaches_platform() const;
 
+    // Other peers to ask first, from now on.
+    void set_seeds(std::vector<peer_address> const& seeds);
+
     membership_effects tick(catalog const& known, time_point now);
 
     // When a process without any configuration wants to read again.
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -15,6 +15,12 @@
         this->earliest_read = now + this->settings.pace.first_read_delay;
 }
 
+template <random_source R>
+void membership<R>::set_seeds(std::vector<peer_address> const& seeds)
+{
+    this->settings.seeds = seeds;
+}
+
 template <random_source R> void membership<R>::begin_wait(time_point now)
 {
     this->waiting_since = now;
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -35,14 +35,24 @@
     auto operator<=>(placing_target const&) const = default;
 };
 
+// How far a search for an owner has come, over all its parts.
+struct search_progress
+{
+    std::uint32_t trials = 0;  // unsure targets made to try their back ends
+    bool any_knows = false;    // a target knew that it isn't its own
+    auto operator<=>(search_progress const&) const = default;
+};
+
 struct placing_wish
 {
     connection_packet packet = {};
     service_id service = {};
     request_terms terms = {};
     std::vector<placing_target> ranked = {};  // best first
+    bool first_has_it = false;  // a copy, and the first of them has the packet
     time_point arrived = {};
     time_point begun = {};  // when the caller first asked, as far as known
+    search_progress progress = {};
     auto operator<=>(placing_wish const&) const = default;
 };
 
@@ -68,6 +78,7 @@
     time_point begun = {};
     std::vector<std::string> followers = {};  // later packets, in order
     std::vector<placing_target> left = {};    // of a search: to be asked yet
+    search_progress progress = {};
     auto operator<=>(owner_found const&) const = default;
 };
 
@@ -94,10 +105,14 @@
     std::size_t most_followers = 8;  // later packets kept for each
 
     // A search asks the nearest places first, since owners are nearly always
-    // there, and none behind the farthest: services may have hundreds of
-    // targets, and connections die by the thousand.
+    // there, and tries the unsure among them before it goes on. Where none of
+    // them knows anything, all have just started, and so has the rest.
     std::size_t nearest = 4;
-    std::size_t farthest = usual_places;
+    std::size_t near = usual_places;
+
+    // Connections die by the thousand, and each trial costs a back end a
+    // packet: twice the places that an opening packet goes along.
+    std::uint32_t most_trials = 2 * usual_places;
 
     // Several times the round trip between two data centres, and well below
     // the 200 ms after which callers repeat themselves.
@@ -157,6 +172,7 @@
         std::uint32_t asked = 0;
         std::uint32_t busy = 0;  // of those asked
         std::uint32_t silent = 0;
+        search_progress progress = {};
         std::vector<std::string> followers = {};
         auto operator<=>(placing_record const&) const = default;
     };
@@ -184,6 +200,9 @@
     std::optional<placing_step>
     next_opening(placing_record const& record) const;
     std::optional<placing_step> next_search(placing_record const& record) const;
+    std::optional<placing_step> next_in(placing_record const& record,
+                                        std::size_t from, std::size_t upto,
+                                        bool asks) const;
     std::optional<std::size_t> least_loaded(placing_record const& record) const;
     std::vector<placing_target> left_of(placing_record const& record) const;
     placing_outcome ask(placing_record& record, std::size_t index, bool insists,
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -31,7 +31,9 @@
                                   time_point now)
 {
     connection_ends const ends = wish.packet.ends;
-    placing_record record{wish, {}, 0, false, {}, 0, 0, 0, {}};
+    placing_record record{};
+    record.wish = wish;
+    record.progress = wish.progress;
     if (this->records.size() >= this->limits.most)
         return {this->fail(record, false)};
     ranked_addresses usable;
@@ -43,12 +45,13 @@
         (is_late ? avoided : usable).push_back(one.address);
         known[one.address] = one;
     }
-    if (wish.packet.opens)
+    bool const chooses = wish.packet.opens && !wish.first_has_it;
+    if (chooses)
         usable = this->policy.order(usable, hints, now);
     usable.insert(usable.end(), avoided.begin(), avoided.end());
     for (peer_address const& address : usable) {
-        bool const is_busy = wish.packet.opens && P::trusts_hints &&
-                             hints.seemed_busy(address, now);
+        bool const is_busy =
+            chooses && P::trusts_hints && hints.seemed_busy(address, now);
         bool const is_known = is_busy || known[address].is_unsure;
         record.choices.push_back(
             {known[address],
@@ -98,8 +101,9 @@
     for (std::size_t i = 0; i < record.choices.size() && !enough; ++i) {
         if (i >= P::places && least)
             break;
+        bool const has_it = i == 0 && record.wish.first_has_it;
         if (record.choices[i].state == choice_state::untried)
-            return placing_step{i, P::probes == 0};
+            return placing_step{i, P::probes == 0 || has_it};
     }
     if (!least)
         return std::nullopt;
@@ -110,16 +114,34 @@
 std::optional<typename placer<P>::placing_step>
 placer<P>::next_search(placing_record const& record) const
 {
-    std::size_t const all =
-        std::min(record.choices.size(), this->limits.farthest);
-    for (std::size_t const upto : {std::min(all, this->limits.nearest), all}) {
-        for (std::size_t i = 0; i < upto; ++i)
-            if (record.choices[i].state == choice_state::untried)
-                return placing_step{i, false};
-        for (std::size_t i = 0; i < upto; ++i)
-            if (record.choices[i].state == choice_state::busy)
-                return placing_step{i, true};
-    }
+    std::size_t const all = record.choices.size();
+    std::size_t const nearest = std::min(all, this->limits.nearest);
+    std::size_t const near = std::min(all, this->limits.near);
+    // Where nobody near knows anything, asking the rest would be in vain.
+    bool const asks_far =
+        record.progress.any_knows || record.progress.trials < this->limits.near;
+    std::optional<placing_step> step = this->next_in(record, 0, nearest, true);
+    if (!step)
+        step = this->next_in(record, nearest, near, true);
+    if (!step)
+        step = this->next_in(record, near, all, asks_far);
+    return step;
+}
+
+// Asks all of a part of the ranking, or none, and then makes the unsure try.
+template <placement_policy P>
+std::optional<typename placer<P>::placing_step>
+placer<P>::next_in(placing_record const& record, std::size_t from,
+                   std::size_t upto, bool asks) const
+{
+    for (std::size_t i = from; i < upto && asks; ++i)
+        if (record.choices[i].state == choice_state::untried)
+            return placing_step{i, false};
+    if (record.progress.trials >= this->limits.most_trials)
+        return std::nullopt;
+    for (std::size_t i = from; i < upto; ++i)
+        if (record.choices[i].state != choice_state::out)
+            return placing_step{i, true};
     return std::nullopt;
 }
 
@@ -151,10 +173,7 @@
     std::vector<placing_target> left;
     if (record.wish.packet.opens)
         return left;
-    std::size_t const all =
-        std::min(record.choices.size(), this->limits.farthest);
-    for (std::size_t i = 0; i < all; ++i) {
-        choice const& one = record.choices[i];
+    for (choice const& one : record.choices) {
         bool const is_unsure = one.state == choice_state::busy;
         if (one.state != choice_state::out)
             left.push_back({one.target.address, one.target.slots, is_unsure});
@@ -183,6 +202,7 @@
     record.at = index;
     record.insists = insists;
     record.asked += 1;
+    record.progress.trials += insists ? 1U : 0U;
     record.question = {++this->last_question};
     if (this->last_question == 0)
         record.question = {++this->last_question};
@@ -223,7 +243,8 @@
                        record.wish.arrived,
                        record.wish.begun,
                        record.followers,
-                       this->left_of(record)};
+                       this->left_of(record),
+                       record.progress};
 }
 
 template <placement_policy P>
@@ -276,6 +297,8 @@
         this->records.erase(record.wish.packet.ends);
         return failed;
     }
+    if (answer.verdict == offer_verdict::not_owner && !record.insists)
+        record.progress.any_knows = true;
     bool const would_if_it_must = answer.verdict == offer_verdict::busy ||
                                   answer.verdict == offer_verdict::unsure;
     if (would_if_it_must && !record.insists) {
--- a/src/placement/searches.cpp
+++ b/src/placement/searches.cpp
@@ -21,16 +21,15 @@
         this->searches.insert_or_assign(ends, record);
 }
 
-void search_memory::tries(connection_ends const& ends, service_id service,
-                          std::vector<placing_target> const& left,
-                          time_point now)
+void search_memory::tries(connection_ends const& ends,
+                          search_record const& record)
 {
-    this->put(ends, {false, service, left, now});
+    this->put(ends, record);
 }
 
 void search_memory::lost(connection_ends const& ends, time_point now)
 {
-    this->put(ends, {true, {}, {}, now});
+    this->put(ends, {true, {}, {}, {}, now});
 }
 
 bool search_memory::is_lost(connection_ends const& ends, time_point now) const
--- a/src/placement/searches.hpp
+++ b/src/placement/searches.hpp
@@ -23,6 +23,7 @@
     bool is_lost = false;  // everybody was asked
     service_id service = {};
     std::vector<placing_target> left = {};  // those to be asked yet, in order
+    search_progress progress = {};
     time_point at = {};
     auto operator<=>(search_record const&) const = default;
 };
@@ -39,8 +40,7 @@
 {
 public:
     // A target that isn't sure was made to try its back end.
-    void tries(connection_ends const& ends, service_id service,
-               std::vector<placing_target> const& left, time_point now);
+    void tries(connection_ends const& ends, search_record const& record);
 
     // All were asked, all answered, and nobody owns the connection.
     void lost(connection_ends const& ends, time_point now);
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -231,6 +231,25 @@
     CHECK(this->offer().offer.question == question_id{});
 }
 
+// Load pattern: at the crest packets wait longer than the 200 ms after which
+// their callers repeat them. Seen on adwoa-rentals-grown trouble-1: a busy owner
+// was passed over for its own copy, and the other target refused it while the
+// first packet still waited.
+TEST(an_entry, takes_a_copy_to_the_target_where_the_first_packet_waits)
+{
+    for (std::uint16_t port = 1; port <= 12; ++port) {
+        this->open(port);
+        send_offer const placed = this->offer();
+        this->answer(placed, offer_verdict::waiting, 40);
+        connection_packet copy = packet_to(members_route, port, true);
+        copy.copy = 1;
+        this->feed(clock_tick{}, 200ms);
+        this->feed(packet_from_caller{copy});
+        CHECK(this->offer().to == placed.to && this->offer().offer.insists);
+        this->answer(this->offer(), offer_verdict::waiting, 40);
+    }
+}
+
 TEST(an_entry, searches_for_the_owner_of_a_connection_it_never_saw)
 {
     this->send(1);
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -340,6 +340,7 @@
                 service_named("members"),
                 {.deadline = 1s},
                 {{first, 2}, {second, 2}, {third, 2}, {fourth, 2}, {fifth, 2}},
+                false,
                 this->now,
                 this->now};
     }
@@ -357,6 +358,16 @@
         return std::get_if<ask_target>(&this->outcomes.back());
     }
 
+    // A search among this many targets.
+    void begin_among(std::uint32_t count)
+    {
+        placing_wish wish = this->wish(false);
+        wish.packet.ends.caller.port += 1;
+        for (std::uint32_t i = 6; i <= count; ++i)
+            wish.ranked.push_back({{0x0A020000 + i, 8000}, 2});
+        this->outcomes = this->placing.begin(wish, this->hints, this->now);
+    }
+
     template <class Outcome> Outcome const* outcome() const
     {
         if (this->outcomes.empty())
@@ -598,6 +609,41 @@
     CHECK(this->asked() == fifth);
 }
 
+// Load pattern: a release replaces targets one after the other, and what was
+// placed among the first eight is soon farther down. Seen on vjesnik-lb-grown
+// scale-2: the search ended at the eighth place, and the connection was broken.
+TEST(searching_an_owner, finds_an_owner_at_the_far_end_of_the_ranking)
+{
+    this->begin_among(30);
+    for (int i = 0; i < 29; ++i)
+        this->answer(offer_verdict::not_owner);
+    CHECK(this->asked().ip == 0x0A020000 + 30);
+    this->answer(offer_verdict::taken);
+    CHECK(this->outcome<owner_found>() != nullptr);
+}
+
+TEST(searching_an_owner, tries_a_far_target_that_has_restarted)
+{
+    this->begin_among(30);
+    for (int i = 0; i < 29; ++i)
+        this->answer(offer_verdict::not_owner);
+    this->answer(offer_verdict::unsure);
+    CHECK(this->asked().ip == 0x0A020000 + 30);
+    CHECK(this->question()->offer.insists);
+}
+
+// Load pattern: all targets have lost power, and so have their connections.
+TEST(searching_an_owner, ends_soon_where_nobody_knows_anything)
+{
+    this->begin_among(100);
+    std::size_t asked = 0;
+    for (; this->question() != nullptr; ++asked)
+        this->answer(this->question()->offer.insists ? offer_verdict::not_owner
+                                                     : offer_verdict::unsure);
+    CHECK(this->outcome<placing_failed>() != nullptr);
+    CHECK(asked <= 8 + 16);
+}
+
 TEST(searching_an_owner, says_who_is_left_should_the_back_end_not_hold_it)
 {
     this->answer(offer_verdict::unsure);
