--- a/src/programs/connection_entry_program.hpp
+++ b/src/programs/connection_entry_program.hpp
@@ -14,6 +14,7 @@
 #include "programs/connection_log.hpp"
 #include "programs/connection_settings.hpp"
 #include "programs/platform_link.hpp"
+#include "programs/settings_watch.hpp"
 #include "wire/codec.hpp"
 
 namespace lagoon {
@@ -27,6 +28,9 @@
     connection_entry_program(entry_process_settings const& settings,
                              Reader reader);
 
+    // Takes up what changes in the settings file while the process runs.
+    void watch_settings(process_start const& start);
+
     // Binds the sockets; false when one can't be had.
     bool open(failure& last);
     void run();
@@ -63,7 +67,10 @@
     void perform(belief_note const& effect);
     http_reply reply_to(http_request const& request);
 
+    void reload(std::string const& text);
+
     entry_process_settings settings;
+    settings_watch watched = {};
     part_log log{"entry"};
     loop_type loop;
     connection_entry<seeded_random> role;
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -37,17 +37,23 @@
 }
 
 // Peers are named by their control addresses; ports are alike on all VMs.
-inline connection_entry_settings
-role_settings(entry_process_settings const& settings)
+inline std::vector<peer_address>
+exchange_seeds(entry_process_settings const& settings)
 {
     std::vector<peer_address> seeds;
     for (peer_address const& seed : settings.seeds)
         seeds.push_back({seed.ip, settings.exchange.port});
+    return seeds;
+}
+
+inline connection_entry_settings
+role_settings(entry_process_settings const& settings)
+{
     connection_entry_settings role{};
     role.member = {.self = process_named(settings.name),
                    .data_centre = settings.data_centre,
                    .exchange = settings.exchange,
-                   .seeds = seeds,
+                   .seeds = exchange_seeds(settings),
                    .pace = pace_for(settings.change_limit)};
     return role;
 }
@@ -127,6 +133,40 @@
     return this->role.next_due();
 }
 
+// ---- settings -----------------------------------------------------------
+
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::watch_settings(
+    process_start const& start)
+{
+    this->watched.begin(start, read_clock());
+}
+
+// The log budget and the seeds change at once; addresses and bounds with the next start.
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::reload(std::string const& text)
+{
+    json_checker checker{"settings"};
+    std::optional<entry_process_settings> const next =
+        parse_entry_process(checker, text);
+    if (!next) {
+        for (json_problem const& problem : checker.problems())
+            this->perform(note_failure{{step::read_settings,
+                                        reason::malformed,
+                                        {},
+                                        to_text(problem)}});
+        return;
+    }
+    this->log.set_budget(next->log.lines_per_second);
+    if (next->seeds != this->settings.seeds)
+        this->feed(connection_entry_event{
+            seeds_changed{detail::exchange_seeds(*next)}});
+    this->log.write(log_line{"reloaded"}.with("log_lines_per_second",
+                                              next->log.lines_per_second));
+    this->settings.log = next->log;
+    this->settings.seeds = next->seeds;
+}
+
 // ---- events -------------------------------------------------------------
 
 template <packet_format Format, platform_reader Reader>
@@ -231,6 +271,9 @@
         this->log.write(log_line{is_ready ? "ready" : "not_ready"}.with(
             "platform_age_ms", this->role.platform_age(now)));
     this->was_ready = is_ready;
+    if (std::optional<std::string> const text =
+            this->watched.changed(reload_signals(), now))
+        this->reload(*text);
     this->log.tick(now);
 }
 
--- a/src/programs/connection_target_program.hpp
+++ b/src/programs/connection_target_program.hpp
@@ -11,6 +11,7 @@
 #include "loop/signals.hpp"
 #include "programs/connection_log.hpp"
 #include "programs/connection_settings.hpp"
+#include "programs/settings_watch.hpp"
 #include "target/connection_target.hpp"
 #include "wire/codec.hpp"
 
@@ -24,6 +25,9 @@
 public:
     explicit connection_target_program(target_process_settings const& settings);
 
+    // Takes up what changes in the settings file while the process runs.
+    void watch_settings(process_start const& start);
+
     // Binds the sockets; false when one can't be had.
     bool open(failure& last);
     void run();
@@ -52,7 +56,10 @@
     void perform(note_failure const& effect);
     peer_address caller_address(peer_address caller) const;
 
+    void reload(std::string const& text);
+
     target_process_settings settings;
+    settings_watch watched = {};
     part_log log{"target"};
     loop_type loop;
     connection_target<> role;
--- a/src/programs/connection_target_program.ipp
+++ b/src/programs/connection_target_program.ipp
@@ -103,6 +103,36 @@
     return this->role.next_due(read_clock());
 }
 
+// ---- settings -----------------------------------------------------------
+
+template <packet_format Format>
+void connection_target_program<Format>::watch_settings(
+    process_start const& start)
+{
+    this->watched.begin(start, read_clock());
+}
+
+// The log budget changes at once; addresses and bounds with the next start.
+template <packet_format Format>
+void connection_target_program<Format>::reload(std::string const& text)
+{
+    json_checker checker{"settings"};
+    std::optional<target_process_settings> const next =
+        parse_target_process(checker, text);
+    if (!next) {
+        for (json_problem const& problem : checker.problems())
+            this->perform(note_failure{{step::read_settings,
+                                        reason::malformed,
+                                        {},
+                                        to_text(problem)}});
+        return;
+    }
+    this->log.set_budget(next->log.lines_per_second);
+    this->log.write(log_line{"reloaded"}.with("log_lines_per_second",
+                                              next->log.lines_per_second));
+    this->settings.log = next->log;
+}
+
 // ---- events -------------------------------------------------------------
 
 template <packet_format Format>
@@ -181,7 +211,11 @@
         this->feed(connection_target_event{stop_asked{}});
     }
     this->feed(connection_target_event{clock_tick{}});
-    this->log.tick(read_clock());
+    time_point const now = read_clock();
+    if (std::optional<std::string> const text =
+            this->watched.changed(reload_signals(), now))
+        this->reload(*text);
+    this->log.tick(now);
 }
 
 template <packet_format Format>
--- a/src/programs/main.hpp
+++ b/src/programs/main.hpp
@@ -47,6 +47,10 @@
     start_logging(identity.level, identity.process);
     catch_stop_signals();
     auto program = make(*settings);
+    if constexpr (requires { program.watch_settings(*start); }) {
+        catch_reload_signal();
+        program.watch_settings(*start);
+    }
     failure last;
     if (!program.open(last)) {
         std::cerr << about.name << ": " << to_text(last) << '\n';
--- /dev/null
+++ b/src/programs/settings_watch.hpp
@@ -0,0 +1,38 @@
+// The settings file of a process that runs: read again on SIGHUP, and now and
+// then, since it may change without a signal.
+//
+// Index
+//   settings_watch   the file, as last read
+#pragma once
+
+#include "base/values.hpp"
+#include "programs/command_line.hpp"
+
+#include <optional>
+#include <string>
+
+namespace lagoon {
+
+// How often the file is looked at unasked. Nothing in it is urgent.
+constexpr duration settings_interval = std::chrono::seconds{5};
+
+// ---- settings_watch -----------------------------------------------------
+
+class settings_watch
+{
+public:
+    // Begins with what the process has started with.
+    void begin(process_start const& start, time_point now);
+
+    // The file's text, when it is another than before. A file that can't be
+    // read counts as unchanged: it is being replaced.
+    std::optional<std::string> changed(int reload_signals, time_point now);
+
+private:
+    std::string path = {};
+    std::string text = {};
+    int signals_seen = 0;
+    time_point looked_at = {};
+};
+
+}  // namespace lagoon
