Read several datagrams with one call

Each datagram cost it three calls: a wait, the library's read, and a read that found nothing.

Change: the library waits for the socket as for a file; up to eight datagrams are read with one recvmmsg, and a batch that isn't full ends the reading.

--- a/bench/packets.cpp
+++ b/bench/packets.cpp
@@ -41,10 +41,11 @@
 
 std::size_t take_all(int sink)
 {
-    std::size_t count = 0;
-    while (drain_udp(sink))
-        ++count;
-    return count;
+    static datagram_reader reader;
+    std::size_t sum = 0;
+    while (std::size_t const count = reader.read(sink))
+        sum += count;
+    return sum;
 }
 
 double drive(int source, int sink, peer_address to, std::string const& packet)
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -151,7 +151,7 @@
 
     lws_vhost* make_vhost(peer_address listen);
     void schedule_tick(time_point now);
-    int receive_datagrams(lws* wsi, std::string_view first);
+    int receive_datagrams(lws* wsi);
     int send_client_head(lws* wsi, client_exchange const& exchange, void* in,
                          size_t size);
     int send_client_body(lws* wsi, client_exchange& exchange);
@@ -173,6 +173,7 @@
     bool is_listening = true;    // on every address
     tick_timer timer = {};
     time_point tick_at = {};  // when the timer is due
+    datagram_reader reader = {};
     std::map<lane, adopted_socket> sockets = {};
     std::map<exchange_id, client_exchange> calls = {};
     std::map<exchange_id, server_exchange> requests = {};
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -9,7 +9,7 @@
 
 constexpr std::size_t reply_chunk = 32U << 10U;  // bytes written at once
 constexpr std::size_t head_size = 1024;          // bytes of a reply's head
-constexpr int datagrams_per_wakeup = 64;
+constexpr std::size_t datagrams_per_wakeup = 64;
 constexpr std::size_t largest_request = 4U << 20U;  // bytes of a body
 
 inline std::string ip_text(peer_address address)
@@ -18,14 +18,6 @@
     return whole.substr(0, whole.find(':'));
 }
 
-inline peer_address sender_of(lws* wsi)
-{
-    lws_udp const* udp = lws_get_udp(wsi);
-    sockaddr_in raw{};
-    std::memcpy(&raw, &udp->sa, sizeof raw);
-    return {ntohl(raw.sin_addr.s_addr), ntohs(raw.sin_port)};
-}
-
 inline std::string header_text(lws* wsi, lws_token_indexes which)
 {
     int const length = lws_hdr_total_length(wsi, which);
@@ -163,8 +155,9 @@
         lws_set_timeout(old->second.wsi, PENDING_TIMEOUT_USER_OK,
                         LWS_TO_KILL_ASYNC);
     lws_sock_file_fd_type descriptor{};
-    descriptor.sockfd = socket.descriptor;
-    lws* wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_SOCKET_UDP,
+    // As a file, so that the library waits for it and leaves the reading here.
+    descriptor.filefd = socket.descriptor;
+    lws* wsi = lws_adopt_descriptor_vhost(this->vhost, LWS_ADOPT_RAW_FILE_DESC,
                                           descriptor, "udp", nullptr);
     lws_set_opaque_user_data(wsi,
                              reinterpret_cast<void*>(std::uintptr_t{as.value}));
@@ -180,28 +173,31 @@
 }
 
 template <class P>
-int event_loop<P>::on_udp(lws* wsi, lws_callback_reasons why, void*, void* in,
-                          size_t size)
+int event_loop<P>::on_udp(lws* wsi, lws_callback_reasons why, void*, void*,
+                          size_t)
 {
-    if (why != LWS_CALLBACK_RAW_RX || of(wsi).closing)
+    if (why != LWS_CALLBACK_RAW_RX_FILE || of(wsi).closing)
         return 0;
-    return of(wsi).receive_datagrams(wsi, {static_cast<char*>(in), size});
+    return of(wsi).receive_datagrams(wsi);
 }
 
-// libwebsockets reads one datagram a wakeup; what else is there is read at
-// once, up to a bound that keeps the other sockets served.
-template <class P>
-int event_loop<P>::receive_datagrams(lws* wsi, std::string_view first)
+// Reads until nothing is left, or up to a bound that keeps the other sockets
+// served.
+template <class P> int event_loop<P>::receive_datagrams(lws* wsi)
 {
     lane const by{static_cast<std::uint8_t>(exchange_of(wsi).value)};
-    this->program.on_datagram(by, detail::sender_of(wsi), first);
-    int const descriptor = lws_get_socket_fd(wsi);
-    for (int i = 1; i < detail::datagrams_per_wakeup; ++i) {
-        std::optional<received_datagram> const more = drain_udp(descriptor);
-        if (!more)
-            break;
-        this->program.on_datagram(by, more->from, more->bytes);
-    }
+    int const descriptor = static_cast<int>(lws_get_socket_fd(wsi));
+    std::size_t taken = 0;
+    std::size_t count = 0;
+    do {
+        count = this->reader.read(descriptor);
+        for (std::size_t i = 0; i < count; ++i) {
+            datagram_view const one = this->reader.at(i);
+            this->program.on_datagram(by, one.from, one.bytes);
+        }
+        taken += count;
+    } while (count == datagram_reader::batch &&
+             taken < detail::datagrams_per_wakeup);
     return 0;
 }
 
--- a/src/loop/udp.cpp
+++ b/src/loop/udp.cpp
@@ -1,18 +1,13 @@
 #include "loop/udp.hpp"
 
 #include <arpa/inet.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
 
-#include <array>
 #include <unistd.h>
 
 namespace lagoon {
 
 namespace {
 
-constexpr std::size_t largest_datagram = 2048;  // bytes read at most
-
 sockaddr_in to_sockaddr(peer_address address)
 {
     sockaddr_in raw{};
@@ -57,19 +52,31 @@
              reinterpret_cast<sockaddr const*>(&raw), sizeof raw);
 }
 
-std::optional<received_datagram> drain_udp(int descriptor)
+datagram_reader::datagram_reader() : bytes(batch * largest_datagram)
 {
-    std::array<char, largest_datagram> buffer;
-    sockaddr_in raw{};
-    socklen_t size = sizeof raw;
-    ssize_t const count =
-        ::recvfrom(descriptor, buffer.data(), buffer.size(), MSG_DONTWAIT,
-                   reinterpret_cast<sockaddr*>(&raw), &size);
-    if (count < 0)
-        return std::nullopt;
-    return received_datagram{
-        from_sockaddr(raw),
-        std::string{buffer.data(), static_cast<std::size_t>(count)}};
+    for (std::size_t i = 0; i < batch; ++i) {
+        this->parts[i] = {this->bytes.data() + i * largest_datagram,
+                          largest_datagram};
+        this->messages[i].msg_hdr.msg_name = &this->senders[i];
+        this->messages[i].msg_hdr.msg_iov = &this->parts[i];
+        this->messages[i].msg_hdr.msg_iovlen = 1;
+    }
+}
+
+std::size_t datagram_reader::read(int descriptor)
+{
+    for (mmsghdr& message : this->messages)
+        message.msg_hdr.msg_namelen = sizeof(sockaddr_in);
+    int const count = ::recvmmsg(descriptor, this->messages.data(), batch,
+                                 MSG_DONTWAIT, nullptr);
+    return count < 0 ? 0 : static_cast<std::size_t>(count);
+}
+
+datagram_view datagram_reader::at(std::size_t index) const
+{
+    return {from_sockaddr(this->senders[index]),
+            {this->bytes.data() + index * largest_datagram,
+             this->messages[index].msg_len}};
 }
 
 }  // namespace lagoon
--- a/src/loop/udp.hpp
+++ b/src/loop/udp.hpp
@@ -4,14 +4,19 @@
 //   udp_socket   what was bound
 //   bind_udp     binds one
 //   send_udp     sends one datagram
-//   drain_udp    reads what is already there
+//   datagram_reader   reads what is already there, several with one call
 #pragma once
 
 #include "base/failure.hpp"
 
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cstddef>
 #include <optional>
-#include <string>
 #include <string_view>
+#include <vector>
 
 namespace lagoon {
 
@@ -24,13 +29,6 @@
     auto operator<=>(udp_socket const&) const = default;
 };
 
-struct received_datagram
-{
-    peer_address from = {};
-    std::string bytes = {};
-    auto operator<=>(received_datagram const&) const = default;
-};
-
 constexpr int udp_buffer_size = 4 << 20;  // bytes asked of the kernel
 
 // ---- bind_udp -----------------------------------------------------------
@@ -43,9 +41,35 @@
 // A datagram that doesn't fit the kernel's buffer is lost, as on the way.
 void send_udp(int descriptor, peer_address to, std::string_view bytes);
 
-// ---- drain_udp ----------------------------------------------------------
+// ---- datagram_reader ----------------------------------------------------
+
+// Valid until the next read.
+struct datagram_view
+{
+    peer_address from = {};
+    std::string_view bytes = {};
+    auto operator<=>(datagram_view const&) const = default;
+};
+
+class datagram_reader
+{
+public:
+    datagram_reader();
+
+    // Reads what is there, up to a batch, and says how many. Never waits.
+    std::size_t read(int descriptor);
 
-// One more datagram if there is one; never waits.
-std::optional<received_datagram> drain_udp(int descriptor);
+    datagram_view at(std::size_t index) const;
+
+    static constexpr std::size_t batch = 8;  // datagrams read with one call
+
+private:
+    static constexpr std::size_t largest_datagram = 2048;  // bytes
+
+    std::vector<char> bytes;
+    std::array<sockaddr_in, batch> senders = {};
+    std::array<iovec, batch> parts = {};
+    std::array<mmsghdr, batch> messages = {};
+};
 
 }  // namespace lagoon
