--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -49,7 +49,6 @@
 {
     std::optional<time_point> deadline = {};   // of no use after it
     time_point objective = time_point::max();  // worth less after it
-    time_point leaves_at = time_point::max();  // its caller waits no longer
     std::uint8_t priority = 0;                 // 0 is the most urgent
     auto operator<=>(request_urgency const&) const = default;
 };
@@ -73,14 +72,13 @@
         duration const needed = this->time_to_answer(predicted);
         time_point const deadline =
             urgency.deadline.value_or(time_point::max());
-        waiting_request const request{
-            key,
-            kind.caller,
-            predicted,
-            now,
-            latest_start(urgency.objective, needed),
-            std::min(latest_start(deadline, needed), urgency.leaves_at),
-            urgency.priority};
+        waiting_request const request{key,
+                                      kind.caller,
+                                      predicted,
+                                      now,
+                                      latest_start(urgency.objective, needed),
+                                      latest_start(deadline, needed),
+                                      urgency.priority};
         duration const wait = this->predicted_wait(request, now);
         if (this->queue.size() >= this->limits.most_waiting)
             return refusal{reason::overloaded, wait};
--- a/src/connection/packet.hpp
+++ b/src/connection/packet.hpp
@@ -4,14 +4,10 @@
 // Index
 //   connection_ends     names a connection
 //   connection_packet   one packet, as much of it as decisions need
-//   attempts            how callers repeat an opening packet, and give up
 #pragma once
 
 #include "base/values.hpp"
 
-#include <algorithm>
-#include <array>
-#include <cstddef>
 #include <string>
 
 namespace lagoon {
@@ -63,20 +59,4 @@
     auto operator<=>(connection_packet const&) const = default;
 };
 
-// ---- attempts -----------------------------------------------------------
-
-// Callers send copies of an opening packet 200 and 600 ms after the first, as
-// the platform's pages say, and count them.
-inline duration age_of_copy(std::uint8_t copy)
-{
-    constexpr std::array<duration, 3> ages{std::chrono::milliseconds{0},
-                                           std::chrono::milliseconds{200},
-                                           std::chrono::milliseconds{600}};
-    return ages[std::min<std::size_t>(copy, ages.size() - 1)];
-}
-
-// A caller that isn't accepted within this tries anew from another port, and
-// takes no answer to the old attempt. From the same pages.
-constexpr duration attempt_limit = std::chrono::milliseconds{1400};
-
 }  // namespace lagoon
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -5,6 +5,16 @@
 
 namespace detail {
 
+// How old a caller's attempt is, by the copies of its opening packet that
+// came before: callers send them 0, 200 and 600 ms after they begin.
+inline duration age_of_copy(std::uint8_t copy)
+{
+    constexpr std::array<duration, 3> ages{std::chrono::milliseconds{0},
+                                           std::chrono::milliseconds{200},
+                                           std::chrono::milliseconds{600}};
+    return ages[std::min<std::size_t>(copy, ages.size() - 1)];
+}
+
 // Twice the places that an opening packet goes along, should targets among the
 // first not answer.
 constexpr std::size_t most_candidates = 2 * usual_places;
@@ -174,7 +184,7 @@
                                  time_point now)
 {
     if (packet.copy > 0)
-        return {now, now - age_of_copy(packet.copy)};
+        return {now, now - detail::age_of_copy(packet.copy)};
     std::optional<time_point> const begun =
         this->repeats.take(packet.ends.caller.ip, packet.ends.service, now);
     return {now, begun.value_or(now)};
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -10,18 +10,12 @@
     return {key_of(ends), {}};
 }
 
-// The acceptance takes a trip to the caller, which may be gone by then.
-constexpr duration trip_to_caller = std::chrono::milliseconds{4};
-
-inline request_urgency urgency_of(packet_offer const& offer, std::uint8_t copy,
-                                  time_point now)
+inline request_urgency urgency_of(packet_offer const& offer, time_point now)
 {
     if (!offer.terms)
         return {};
     time_point const begun = now - offer.terms->age;
     request_urgency urgency{};
-    urgency.leaves_at =
-        now - age_of_copy(copy) + attempt_limit - trip_to_caller;
     urgency.priority = offer.terms->priority;
     if (offer.terms->deadline > duration{})
         urgency.deadline = begun + offer.terms->deadline;
@@ -230,7 +224,7 @@
     connection_record const& record = *this->table.find(packet.ends);
     std::optional<refusal> const refused = this->gate.offer(
         detail::slot_key(packet.ends), this->kind_of(record.route),
-        detail::urgency_of(event.offer, packet.copy, now), now);
+        detail::urgency_of(event.offer, now), now);
     if (refused) {
         this->table.erase(packet.ends);
         tracking_note note =
