Ready once the platform was read; measure connections without tokens

Change: with a platform whose answers are linearizable, an entry that has read it since its start or pause is ready, whatever its peers learn since.

Ruled out: the bound of configuration (the news come within half a second).

Kept for the packets that are no longer held; the story fails without it.

--- /dev/null
+++ b/bench/connections.cpp
@@ -0,0 +1,182 @@
+// What an entry and a target spend on a connection without a token: time for
+// each request, and memory for each open connection.
+//
+// Index
+//   an_entry, a_target     the roles, with a catalog of 51 targets
+//   benchmarks             by connections already open
+
+#include "entry/connection_entry.hpp"
+#include "target/connection_target.hpp"
+#include "wire/codec.hpp"
+
+#include <benchmark/benchmark.h>
+
+#include <malloc.h>
+
+namespace lagoon {
+
+namespace {
+
+constexpr std::uint32_t target_count = 51;
+constexpr peer_address route{0xC6120001, 443};
+constexpr peer_address entry_address{0x0A010001, 7000};
+constexpr std::uint32_t ports = 60'000;  // of one caller's address
+
+connection_packet packet_of(std::uint64_t number, bool opens)
+{
+    connection_packet packet{};
+    packet.ends = {{static_cast<std::uint32_t>(0x64400001 + number / ports),
+                    static_cast<std::uint16_t>(1024 + number % ports)},
+                   route};
+    packet.opens = opens;
+    packet.size = opens ? 0 : 100;
+    packet.acknowledged = opens ? 0 : 1;
+    packet.bytes = std::string(32, 'x');
+    return packet;
+}
+
+// ---- an_entry -----------------------------------------------------------
+
+struct an_entry
+{
+    time_point now{std::chrono::seconds{100}};
+    connection_entry<seeded_random> role{settings(), seeded_random{1}, now};
+
+    static connection_entry_settings settings()
+    {
+        connection_entry_settings made{};
+        made.member.self = {7};
+        made.member.pace.platform_is_linearizable = true;
+        made.member.pace.first_read_delay = {};
+        return made;
+    }
+
+    an_entry()
+    {
+        generation const next{1};
+        service_part part{service_named("members"), "members", next, {}, {}};
+        for (std::uint32_t i = 0; i < target_count; ++i) {
+            std::string const name = "t" + std::to_string(i);
+            peer_address const address{0x0A020001 + i, 8000};
+            part.targets.push_back({target_named(name), name, "z", address,
+                                    address, 2, target_state::serving});
+        }
+        std::sort(part.targets.begin(), part.targets.end());
+        routes_part const routes{next,
+                                 {{route,
+                                   {{part.id, 1}},
+                                   std::chrono::milliseconds{100},
+                                   std::chrono::seconds{1},
+                                   2,
+                                   true}},
+                                 std::chrono::seconds{15}};
+        catalog_change change{{}, next};
+        change.parts = {part};
+        change.routes = routes;
+        change.whole = {digest_of(fleet_part{}).value + digest_of(part).value +
+                        digest_of(routes).value};
+        this->role.on(clock_tick{}, this->now);
+        this->role.on(change_arrived{change_source::platform, {}, change},
+                      this->now);
+    }
+
+    // An opening packet, the answer of the target, and the request.
+    void open(std::uint64_t number)
+    {
+        for (connection_entry_effect const& effect : this->role.on(
+                 packet_from_caller{packet_of(number, true)}, this->now))
+            if (auto const* offer = std::get_if<send_offer>(&effect))
+                this->take(*offer);
+        benchmark::DoNotOptimize(this->role.on(
+            packet_from_caller{packet_of(number, false)}, this->now));
+    }
+
+    void take(send_offer const& offer)
+    {
+        benchmark::DoNotOptimize(encode_packet(offer.offer));
+        this->role.on(
+            answer_from_target{
+                offer.to,
+                {offer.offer.question, offer_verdict::taken, 1, 2, {}},
+                std::nullopt},
+            this->now);
+    }
+};
+
+// ---- a_target -----------------------------------------------------------
+
+struct a_target
+{
+    time_point now{std::chrono::seconds{100}};
+    service_id members = service_named("members");
+    connection_target<> role{{.service = service_named("members"),
+                              .admission = {.slots = 2, .ahead = 2},
+                              .knows_all = true},
+                             now};
+
+    // An offered opening packet, the acceptance, the request, the answer.
+    void serve(std::uint64_t number)
+    {
+        connection_packet const opening = packet_of(number, true);
+        connection_packet accepted{};
+        accepted.ends = opening.ends;
+        accepted.accepts = true;
+        connection_packet answered{};
+        answered.ends = opening.ends;
+        answered.sequence = 1;
+        answered.size = 1000;
+        this->role.on(offer_from_entry{entry_address,
+                                       {{1}, this->members, 2, true, {}, {}},
+                                       opening},
+                      this->now);
+        this->role.on(packet_from_back_end{accepted}, this->now);
+        this->role.on(offer_from_entry{entry_address,
+                                       {{}, this->members, 0, false, {}, {}},
+                                       packet_of(number, false)},
+                      this->now);
+        benchmark::DoNotOptimize(
+            this->role.on(packet_from_back_end{answered}, this->now));
+    }
+};
+
+// ---- benchmarks ---------------------------------------------------------
+
+// Memory in use by this process, in bytes.
+double memory_in_use()
+{
+    struct mallinfo2 const info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+template <class Role, void (Role::*Request)(std::uint64_t)>
+void request(benchmark::State& state)
+{
+    Role role;
+    double const before = memory_in_use();
+    std::uint64_t number = 0;
+    auto const open = static_cast<std::uint64_t>(state.range(0));
+    while (number < open)
+        (role.*Request)(number++);
+    state.counters["bytes_each"] =
+        (memory_in_use() - before) / static_cast<double>(open);
+    for (auto _ : state) {
+        role.now += std::chrono::microseconds{100};
+        (role.*Request)(number++);
+    }
+}
+
+BENCHMARK(request<an_entry, &an_entry::open>)
+    ->Name("entry_request")
+    ->Arg(1000)
+    ->Arg(100'000)
+    ->Iterations(50'000);
+BENCHMARK(request<a_target, &a_target::serve>)
+    ->Name("target_request")
+    ->Arg(1000)
+    ->Arg(100'000)
+    ->Iterations(50'000);
+
+}  // namespace
+}  // namespace lagoon
+
+BENCHMARK_MAIN();
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -339,7 +339,11 @@
         return false;
     membership_pace const& pace = this->settings.pace;
     bool const waited = now - this->waiting_since > pace.news_wait;
-    bool const caught_up = known.version() >= this->highest_heard;
+    // What peers have learnt since then is news like any other: after an
+    // outage they learn something all the time.
+    bool const has_read =
+        pace.platform_is_linearizable && this->platform_compared;
+    bool const caught_up = has_read || known.version() >= this->highest_heard;
     // The tick that notices a pause may come after the first packet.
     bool const paused = now - this->last_tick > pace.pause_gap;
     if (paused)
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -192,6 +192,23 @@
 
 namespace {
 
+// Load pattern: after a loss of power targets register one after the other, and
+// some peer is always a generation ahead. Seen in inc-03d1: entries held opening
+// packets again and again in their first second.
+TEST(an_entry_that_starts, is_ready_once_it_has_read_whatever_peers_learn_since)
+{
+    this->feed(clock_tick{});
+    this->publish_usual();
+    CHECK(this->role.is_ready(this->now));
+    peer_digest ahead{};
+    ahead.sender = {8};
+    ahead.version = {{this->last_generation + 1}, {1}};
+    this->feed(digest_packet{{0x0A010002, 7280}, ahead}, 5ms);
+    CHECK(this->role.is_ready(this->now));
+    this->open(1);
+    UNSIGNED_LONGS_EQUAL(1, this->all<send_offer>().size());
+}
+
 // ---- in service ---------------------------------------------------------
 
 struct an_entry_in_service : a_connection_entry
