--- a/bench/packets.cpp
+++ b/bench/packets.cpp
@@ -51,12 +51,14 @@
 double drive(int source, int sink, peer_address to, std::string const& packet)
 {
     take_all(sink);
+    datagram_writer writer;
     std::size_t arrived = 0;
     std::size_t under_way = 0;
     time_point const begin = read_clock();
     while (read_clock() - begin < round_length) {
         for (; under_way < window; ++under_way)
-            send_udp(source, to, packet);
+            writer.add(source, to, packet);
+        writer.flush(source);
         pollfd waiting{sink, POLLIN, 0};
         bool const any = ::poll(&waiting, 1, wait_ms) > 0;
         std::size_t const count = any ? take_all(sink) : 0;
--- a/src/loop/udp.cpp
+++ b/src/loop/udp.cpp
@@ -45,13 +45,6 @@
     return udp_socket{descriptor, from_sockaddr(raw)};
 }
 
-void send_udp(int descriptor, peer_address to, std::string_view bytes)
-{
-    sockaddr_in const raw = to_sockaddr(to);
-    ::sendto(descriptor, bytes.data(), bytes.size(), MSG_DONTWAIT,
-             reinterpret_cast<sockaddr const*>(&raw), sizeof raw);
-}
-
 void datagram_writer::add(int descriptor, peer_address to,
                           std::string_view datagram)
 {
--- a/src/loop/udp.hpp
+++ b/src/loop/udp.hpp
@@ -1,9 +1,8 @@
 // A bound UDP socket; the event loop adopts it.
 //
 // Index
-//   udp_socket   what was bound
-//   bind_udp     binds one
-//   send_udp     sends one datagram
+//   udp_socket        what was bound
+//   bind_udp          binds one
 //   datagram_writer   sends several with one call
 //   datagram_reader   reads what is already there, several with one call
 #pragma once
@@ -37,11 +36,6 @@
 // Port 0 takes a free one. Errors: unreachable (the address can't be bound).
 std::optional<udp_socket> bind_udp(peer_address local, failure& last);
 
-// ---- send_udp -----------------------------------------------------------
-
-// A datagram that doesn't fit the kernel's buffer is lost, as on the way.
-void send_udp(int descriptor, peer_address to, std::string_view bytes);
-
 // ---- datagram_writer ----------------------------------------------------
 
 // A datagram that doesn't fit the kernel's buffer is lost, as on the way.
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -42,8 +42,9 @@
     question_id question = {};
     service_id service = {};
     std::uint32_t slots = 0;  // of the target, as published; 0: not told
-    bool insists =
-        false;  // as a last resort: queue it, or try it at the back end
+    // The last resort: the target queues the packet, or tries it at its back
+    // end, where it would rather not.
+    bool insists = false;
     std::optional<request_terms> terms = {};  // with an opening packet
     std::string bytes = {};                   // the caller's packet
     auto operator<=>(packet_offer const&) const = default;
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -69,11 +69,11 @@
 
 struct connection_network
 {
-    duration to_callers = 3ms;       // one way
-    duration within_zone = 100us;    // one way
-    duration between_zones = 900us;  // one way
-    duration entry_cost = 300us;     // of an event, on 0.055 of a core
-    double lost = 0;                 // share of datagrams between our VMs
+    duration to_callers = 3ms;              // one way
+    duration within_data_centre = 100us;    // one way
+    duration between_data_centres = 900us;  // one way
+    duration entry_cost = 300us;            // of an event, on 0.055 of a core
+    double lost = 0;  // share of datagrams between our VMs
     auto operator<=>(connection_network const&) const = default;
 };
 
@@ -104,23 +104,23 @@
     }
 
     // Entries and targets are numbered in the order in which they are added.
-    std::size_t add_entry(int zone)
+    std::size_t add_entry(int data_centre)
     {
         std::size_t const index = this->entries.size();
         this->entries.push_back({});
-        this->entries.back().zone = zone;
+        this->entries.back().data_centre = data_centre;
         this->entries.back().address = {
             entry_ip + static_cast<std::uint32_t>(index), peer_port};
         this->start_entry(index);
         return index;
     }
 
-    std::size_t add_target(std::string const& service, int zone,
+    std::size_t add_target(std::string const& service, int data_centre,
                            back_end_traits traits = {})
     {
         std::size_t const index = this->targets.size();
         target_node node{};
-        node.zone = zone;
+        node.data_centre = data_centre;
         node.service = service;
         node.traits = traits;
         node.address = {target_ip + static_cast<std::uint32_t>(index),
@@ -263,10 +263,11 @@
     // -- load
 
     // Requests of a kind at this rate, from now on and for the span, spread
-    // over zones.
-    void load(std::size_t kind, double per_second, duration span, int zones)
+    // over data_centres.
+    void load(std::size_t kind, double per_second, duration span,
+              int data_centres)
     {
-        this->next_arrival(kind, per_second, this->time + span, zones);
+        this->next_arrival(kind, per_second, this->time + span, data_centres);
     }
 
     // -- time
@@ -357,7 +358,7 @@
     std::size_t resets = 0;            // that reached callers
     std::size_t searches = 0;          // questions about open connections
     std::size_t foreign_packets = 0;   // that reached a wrong service
-    std::size_t clients_of_zone = 25;  // addresses that callers share
+    std::size_t clients_of_each = 25;  // addresses that callers share
     bool keeps_notes = false;
 
     static constexpr time_point start_time{10s};
@@ -395,7 +396,7 @@
 
     struct entry_node
     {
-        int zone = 0;
+        int data_centre = 0;
         peer_address address = {};
         std::unique_ptr<connection_entry<seeded_random, P>> core = {};
         std::uint64_t life = 0;
@@ -427,7 +428,7 @@
 
     struct target_node
     {
-        int zone = 0;
+        int data_centre = 0;
         std::string service = {};
         back_end_traits traits = {};
         peer_address address = {};
@@ -441,7 +442,7 @@
     struct attempt
     {
         std::size_t request = 0;
-        int zone = 0;
+        int data_centre = 0;
         bool opened = false;
         bool over = false;
         time_point begun = {};
@@ -467,10 +468,11 @@
                           this->unit() * longest_start.count())};
     }
 
-    duration hop(int from_zone, int to_zone) const
+    duration hop(int from_data_centre, int to_data_centre) const
     {
-        return from_zone == to_zone ? this->network.within_zone
-                                    : this->network.between_zones;
+        return from_data_centre == to_data_centre
+                   ? this->network.within_data_centre
+                   : this->network.between_data_centres;
     }
 
     bool is_lost()
@@ -495,34 +497,35 @@
     // -- callers
 
     void next_arrival(std::size_t kind, double per_second, time_point until,
-                      int zones)
+                      int data_centres)
     {
         double const gap = -std::log(1 - this->unit()) / per_second;
         duration const after{static_cast<std::int64_t>(gap * 1e6)};
         if (this->time + after >= until)
             return;
-        this->schedule(after, [this, kind, per_second, until, zones] {
-            int const zone = static_cast<int>(this->unit() * zones);
+        this->schedule(after, [this, kind, per_second, until, data_centres] {
+            int const data_centre =
+                static_cast<int>(this->unit() * data_centres);
             this->requests.push_back(
                 {kind, this->time, {}, request_end::pending, 0, 0});
-            this->begin_attempt(this->requests.size() - 1, zone);
-            this->next_arrival(kind, per_second, until, zones);
+            this->begin_attempt(this->requests.size() - 1, data_centre);
+            this->next_arrival(kind, per_second, until, data_centres);
         });
     }
 
     // Each attempt comes from a port of its own, at the address of its caller.
-    connection_ends next_ends(std::size_t request, int zone)
+    connection_ends next_ends(std::size_t request, int data_centre)
     {
         auto const client = static_cast<std::uint32_t>(
-            request % this->clients_of_zone +
-            this->clients_of_zone * static_cast<std::size_t>(zone));
+            request % this->clients_of_each +
+            this->clients_of_each * static_cast<std::size_t>(data_centre));
         std::uint16_t& port = this->last_port[client];
         port = port < 1024 ? 1024 : static_cast<std::uint16_t>(port + 1);
         return {{caller_ip + client, port},
                 this->kinds[this->requests[request].kind].route};
     }
 
-    void begin_attempt(std::size_t request, int zone)
+    void begin_attempt(std::size_t request, int data_centre)
     {
         finished_request& wish = this->requests[request];
         request_kind const& kind = this->kinds[wish.kind];
@@ -533,8 +536,9 @@
         }
         ++wish.attempts;
         std::size_t const number = this->attempts.size();
-        connection_ends const ends = this->next_ends(request, zone);
-        this->attempts.push_back({request, zone, false, false, this->time, 0});
+        connection_ends const ends = this->next_ends(request, data_centre);
+        this->attempts.push_back(
+            {request, data_centre, false, false, this->time, 0});
         this->attempt_of[ends] = number;
         this->send_open(ends, 0);
         this->schedule(first_copy, [this, ends] {
@@ -566,7 +570,7 @@
         if (one.over || (one.opened && this->time < deadline))
             return;
         one.over = true;
-        this->begin_attempt(one.request, one.zone);
+        this->begin_attempt(one.request, one.data_centre);
     }
 
     void end_request(std::size_t request, request_end end)
@@ -578,8 +582,9 @@
         wish.ended = this->time;
     }
 
-    // The router's choice: any entry in the caller's zone, else any at all.
-    std::optional<std::size_t> route(connection_ends const& ends, int zone)
+    // The router's choice: any entry in the caller's data_centre, else any at all.
+    std::optional<std::size_t> route(connection_ends const& ends,
+                                     int data_centre)
     {
         std::vector<std::size_t> near;
         std::vector<std::size_t> all;
@@ -587,7 +592,7 @@
             if (this->withdrawn.contains(i))
                 continue;
             all.push_back(i);
-            if (this->entries[i].zone == zone)
+            if (this->entries[i].data_centre == data_centre)
                 near.push_back(i);
         }
         std::vector<std::size_t> const& from = near.empty() ? all : near;
@@ -598,8 +603,9 @@
 
     void send_in(connection_ends const& ends, connection_packet const& packet)
     {
-        int const zone = this->attempts[this->attempt_of[ends]].zone;
-        std::optional<std::size_t> const entry = this->route(ends, zone);
+        int const data_centre =
+            this->attempts[this->attempt_of[ends]].data_centre;
+        std::optional<std::size_t> const entry = this->route(ends, data_centre);
         if (!entry)
             return;
         connection_packet const made = this->make_packet(packet);
@@ -664,7 +670,7 @@
         if (one.opened && !kind.is_idempotent)
             this->end_request(one.request, request_end::failed);
         else
-            this->begin_attempt(one.request, one.zone);
+            this->begin_attempt(one.request, one.data_centre);
     }
 
     // -- entries
@@ -739,8 +745,8 @@
         std::size_t const target = effect.to.ip - target_ip;
         if (target >= this->targets.size() || this->is_lost())
             return;
-        duration const delay =
-            this->hop(this->entries[index].zone, this->targets[target].zone);
+        duration const delay = this->hop(this->entries[index].data_centre,
+                                         this->targets[target].data_centre);
         peer_address const from = this->entries[index].address;
         this->schedule(delay, [this, target, from, offer = effect.offer] {
             this->feed_target(
@@ -764,11 +770,11 @@
         if (to >= this->entries.size() || this->is_lost())
             return;
         Packet const packet{this->entries[index].address, effect.what};
-        this->schedule(
-            this->hop(this->entries[index].zone, this->entries[to].zone),
-            [this, to, packet] {
-                this->feed_entry(to, packet);
-            });
+        this->schedule(this->hop(this->entries[index].data_centre,
+                                 this->entries[to].data_centre),
+                       [this, to, packet] {
+                           this->feed_entry(to, packet);
+                       });
     }
 
     void perform_entry(std::size_t index, send_digest const& effect)
@@ -901,11 +907,11 @@
             returned = this->packet_of(effect.answer.bytes);
         answer_from_target const event{this->targets[index].address,
                                        effect.answer, returned};
-        this->schedule(
-            this->hop(this->targets[index].zone, this->entries[to].zone),
-            [this, to, event] {
-                this->feed_entry(to, event);
-            });
+        this->schedule(this->hop(this->targets[index].data_centre,
+                                 this->entries[to].data_centre),
+                       [this, to, event] {
+                           this->feed_entry(to, event);
+                       });
     }
 
     void perform_target(std::size_t, pass_to_caller const& effect)
@@ -1054,7 +1060,7 @@
         target_node const& node = this->targets[index];
         return {"t" + std::to_string(index),
                 published_target{node.service,
-                                 "z" + std::to_string(node.zone),
+                                 "z" + std::to_string(node.data_centre),
                                  node.address,
                                  node.traits.slots,
                                  node.back_end.life,
--- a/tests/stories/connection_fleet_story.cpp
+++ b/tests/stories/connection_fleet_story.cpp
@@ -9,7 +9,7 @@
 peer_address const notices{0xC6120001, 443};
 peer_address const renewals{0xC6120001, 444};
 
-constexpr int zones = 4;
+constexpr int data_centres = 4;
 
 // Five entries before seven targets of two slots, as at the printer's.
 struct a_fleet_of_connections : Utest
@@ -24,10 +24,10 @@
             {notices, "members", 13ms, 100ms, 1s, 2, true, 1, 0.1});
         this->renewal = this->fleet.add_kind(
             {renewals, "members", 17ms, 120ms, 1200ms, 1, false, 2, 0.2});
-        for (int zone : {0, 1, 2, 3, 0})
-            this->fleet.add_entry(zone);
-        for (int zone : {0, 1, 2, 3, 0, 1, 2})
-            this->fleet.add_target("members", zone);
+        for (int data_centre : {0, 1, 2, 3, 0})
+            this->fleet.add_entry(data_centre);
+        for (int data_centre : {0, 1, 2, 3, 0, 1, 2})
+            this->fleet.add_target("members", data_centre);
         this->fleet.publish();
         this->fleet.run_for(2s);
     }
@@ -35,8 +35,8 @@
     time_point begin_load(double share, duration span)
     {
         time_point const begun = this->fleet.now();
-        this->fleet.load(this->notice, 256 * share, span, zones);
-        this->fleet.load(this->renewal, 73 * share, span, zones);
+        this->fleet.load(this->notice, 256 * share, span, data_centres);
+        this->fleet.load(this->renewal, 73 * share, span, data_centres);
         return begun;
     }
 
@@ -103,7 +103,7 @@
 TEST(a_loss_of_all_power, leaves_no_storm_of_searches_behind)
 {
     for (int i = 0; i < 23; ++i)
-        this->fleet.add_target("members", i % zones);
+        this->fleet.add_target("members", i % data_centres);
     this->fleet.publish();
     this->fleet.run_for(1s);
     this->begin_load(1, 10s);
@@ -130,8 +130,8 @@
     this->check_promises();
 }
 
-// Load pattern: a zone's callers come from another zone.
-TEST(a_calm_day, goes_on_when_the_callers_move_to_one_zone)
+// Load pattern: the callers of one data centre come from another.
+TEST(a_calm_day, goes_on_when_the_callers_move_to_one_data_centre)
 {
     time_point const begun = this->fleet.now();
     this->fleet.load(this->notice, 256, 4s, 1);
