A fault soak of our own: real processes, faults from outside, promises judged

Faults come from a seeded plan; thirteen promises are judged from the records of callers and back ends while it runs. A failing plan is kept and made shorter. Before: no soak.

--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -105,6 +105,9 @@
     // The reply to a request that on_http_request was told of.
     void reply(exchange_id exchange, http_reply const& what);
 
+    // Breaks its connection off instead.
+    void break_off(exchange_id exchange);
+
     // Runs until the program wants to stop.
     void run();
 
@@ -171,6 +174,7 @@
     loop_settings settings;
     std::vector<lws_protocols> protocols;
     std::deque<std::string> names = {};  // the library keeps pointers to them
+    std::deque<peer_address> listeners = {};  // and to these
     lws_context* context = nullptr;
     lws_vhost* vhost = nullptr;  // of sockets and calls; listens nowhere
     bool is_listening = true;    // on every address
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -86,6 +86,7 @@
     info.port = listen.port == 0 ? CONTEXT_PORT_NO_LISTEN_SERVER : listen.port;
     info.iface = listen.port == 0 ? nullptr : ip.c_str();
     info.vhost_name = name.c_str();
+    info.user = &this->listeners.emplace_back(listen);
     return lws_create_vhost(this->context, &info);
 }
 
@@ -417,7 +418,9 @@
     http_request const request{posted ? "POST" : "GET",
                                std::string{path},
                                detail::query_text(wsi),
-                               {}};
+                               {},
+                               *static_cast<peer_address*>(
+                                   lws_vhost_user(lws_get_vhost(wsi)))};
     this->requests[id] = server_exchange{request, wsi, {}, false, 0};
     if (!posted)
         this->program.on_http_request(id, request);
@@ -435,6 +438,16 @@
     lws_callback_on_writable(found->second.wsi);
 }
 
+template <class P> void event_loop<P>::break_off(exchange_id exchange)
+{
+    auto const found = this->requests.find(exchange);
+    if (found == this->requests.end())
+        return;
+    lws_set_timeout(found->second.wsi, PENDING_TIMEOUT_USER_OK,
+                    LWS_TO_KILL_ASYNC);
+    this->requests.erase(found);
+}
+
 template <class P>
 int event_loop<P>::write_reply_head(lws* wsi, server_exchange& exchange)
 {
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -52,6 +52,7 @@
     std::string path = {};   // without its query
     std::string query = {};  // fields joined by '&'
     std::string body = {};
+    peer_address at = {};  // where it came in
     auto operator<=>(http_request const&) const = default;
 };
 
--- /dev/null
+++ b/tests/soak/links.hpp
@@ -0,0 +1,86 @@
+// What the proxy does to the datagrams that pass through it.
+//
+// Index
+//   outside       the machine that callers count as
+//   link_faults   which links are at fault, and what becomes of a datagram
+#pragma once
+
+#include "plan.hpp"
+
+namespace lagoon::soak {
+
+// ---- outside ------------------------------------------------------------
+
+constexpr std::size_t outside = SIZE_MAX;
+
+// ---- link_faults --------------------------------------------------------
+
+class link_faults
+{
+public:
+    explicit link_faults(std::uint64_t seed) : random(seed) {}
+
+    static bool is_of_links(fault_kind kind)
+    {
+        return kind >= fault_kind::cut_in && kind <= fault_kind::repeat;
+    }
+
+    void begin(fault const& what, time_point now)
+    {
+        this->active.push_back({what, now + what.span});
+    }
+
+    // When the datagram arrives, after now: never, once or twice.
+    std::vector<duration> carry(std::size_t from, std::size_t to,
+                                time_point now)
+    {
+        std::erase_if(this->active, [now](active_fault const& one) {
+            return one.until <= now;
+        });
+        duration delay{};
+        std::size_t count = 1;
+        for (active_fault const& one : this->active) {
+            bool const is_to = one.what.machine == to;
+            bool const is_from = one.what.machine == from;
+            if ((one.what.kind == fault_kind::cut_in && is_to) ||
+                (one.what.kind == fault_kind::cut_out && is_from))
+                return {};
+            if (!is_to && !is_from)
+                continue;
+            bool const is_struck = this->unit() < one.what.share;
+            if (one.what.kind == fault_kind::lose && is_struck)
+                return {};
+            if (one.what.kind == fault_kind::repeat && is_struck)
+                count = 2;
+            if (one.what.kind == fault_kind::hold_up)
+                delay += duration{static_cast<std::int64_t>(
+                    this->unit() * static_cast<double>(longest_delay.count()))};
+        }
+        std::vector<duration> arrivals;
+        for (std::size_t i = 0; i < count; ++i)
+            arrivals.push_back(delay + i * repeat_delay);
+        return arrivals;
+    }
+
+private:
+    // Out of order by more than the callers' round trips.
+    static constexpr duration longest_delay = std::chrono::milliseconds{80};
+    static constexpr duration repeat_delay = std::chrono::milliseconds{5};
+
+    struct active_fault
+    {
+        fault what = {};
+        time_point until = {};
+        auto operator<=>(active_fault const&) const = default;
+    };
+
+    double unit()
+    {
+        return std::uniform_real_distribution<double>{0, 1}(this->random);
+    }
+
+    seeded_random random;
+    std::vector<active_fault> active = {};
+};
+
+}  // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/main.cpp
@@ -0,0 +1,233 @@
+// lagoon-soak: runs the real programs on loopback under faults from a seeded
+// plan, and judges what callers and back ends have seen. Prints the seed and a
+// verdict; a failure keeps its logs, its plan and the shortest part of the
+// plan that still fails. Exit codes: 0 all kept, 1 a promise was broken, 2 the
+// command line is wrong.
+
+#include "documents/files.hpp"
+#include "loop/signals.hpp"
+#include "programs/command_line.hpp"
+#include "soak_packets.hpp"
+#include "soak_run.hpp"
+#include "soak_store.hpp"
+#include "stand_ins/options.hpp"
+
+#include <filesystem>
+#include <libwebsockets.h>
+#include <unistd.h>
+
+namespace lagoon::soak {
+
+namespace {
+
+namespace po = boost::program_options;
+
+using platform_soak =
+    soak_run<platform::platform_soak_packets, platform::soak_store>;
+
+// Runs at the same time use networks of their own.
+constexpr std::uint32_t first_net = 16;
+constexpr std::uint32_t nets = 200;
+
+struct outcome
+{
+    std::vector<broken_promise> broken = {};
+    bool was_run = false;
+};
+
+struct soak_options
+{
+    soak_plan plan = {};
+    run_options run = {};
+    std::size_t most_parts = 0;  // tried to make a failing plan shorter
+};
+
+void print(outcome const& result, time_point begun)
+{
+    for (broken_promise const& one : result.broken)
+        std::cout << "  broken: " << to_text(one.what) << " at "
+                  << (one.at - begun) / 1ms << " ms: " << one.detail << '\n';
+}
+
+outcome run_once(soak_plan const& plan, run_options options)
+{
+    std::filesystem::create_directories(options.folder);
+    std::ofstream{options.folder + "/plan.json"} << write_plan(plan);
+    failure last;
+    for (std::uint32_t i = 0; i < nets; ++i) {
+        options.net =
+            first_net + (static_cast<std::uint32_t>(::getpid()) + i) % nets;
+        platform_soak one{plan, options};
+        if (!one.open(last))
+            continue;
+        one.run();
+        outcome const result{one.verdict().broken(), stop_signals() == 0};
+        std::cout << "seed " << plan.seed << ": " << plan.entries
+                  << " entries, " << plan.targets << " targets, "
+                  << plan.faults.size() << " faults, served "
+                  << one.verdict().served() << ", failed "
+                  << one.verdict().failed() << ": "
+                  << (!result.was_run         ? "stopped"
+                      : result.broken.empty() ? "kept"
+                                              : "BROKEN")
+                  << '\n';
+        print(result, one.begun());
+        std::cout.flush();
+        return result;
+    }
+    std::cerr << "lagoon-soak: " << to_text(last) << '\n';
+    return {};
+}
+
+bool breaks_again(outcome const& result, promise what)
+{
+    return std::any_of(result.broken.begin(), result.broken.end(),
+                       [what](broken_promise const& one) {
+                           return one.what == what;
+                       });
+}
+
+// Goes on with the first part that breaks the same promise.
+void shrink(soak_options const& options, promise what)
+{
+    soak_plan shortest = options.plan;
+    std::size_t tried = 0;
+    bool goes_on = true;
+    while (goes_on) {
+        goes_on = false;
+        for (soak_plan const& part : parts_of(shortest)) {
+            if (tried++ >= options.most_parts || stop_signals() > 0)
+                break;
+            run_options run = options.run;
+            run.folder += "/part-" + std::to_string(tried);
+            if (!breaks_again(run_once(part, run), what))
+                continue;
+            shortest = part;
+            goes_on = true;
+            break;
+        }
+    }
+    std::string const file = options.run.folder + "/shortest.json";
+    std::ofstream{file} << write_plan(shortest);
+    std::cout << "shortest plan: " << file << ", " << shortest.faults.size()
+              << " of " << options.plan.faults.size() << " faults\n";
+}
+
+promise promise_named(std::string const& name)
+{
+    for (std::size_t i = 0; i < static_cast<std::size_t>(promise::last); ++i)
+        if (name == to_text(static_cast<promise>(i)))
+            return static_cast<promise>(i);
+    return promise::last;
+}
+
+std::optional<soak_plan> read_plan_file(std::string const& path)
+{
+    json_checker checker{path};
+    std::optional<std::string> const text = read_file(path);
+    if (!text) {
+        std::cerr << "lagoon-soak: " << path << ": can't be read\n";
+        return std::nullopt;
+    }
+    std::optional<soak_plan> const plan = parse_plan(checker, *text);
+    print_problems(checker.problems());
+    return plan;
+}
+
+po::options_description described()
+{
+    po::options_description options{"Usage: lagoon-soak [OPTIONS]\n\nOptions"};
+    options.add_options()("help", "print this text")(
+        "seed", po::value<std::uint64_t>()->default_value(1), "of the plan")(
+        "minutes", po::value<double>()->default_value(1), "length of a run")(
+        "processes", po::value<std::size_t>()->default_value(16),
+        "entries and targets, 5 to 240")(
+        "plan", po::value<std::string>(),
+        "a plan to run in place of a drawn one")(
+        "programs", po::value<std::string>()->default_value("build"),
+        "folder of the programs")(
+        "folder", po::value<std::string>()->default_value("/tmp/lagoon-soak"),
+        "for settings, logs and plans; a kept run leaves nothing")(
+        "shrink", po::value<std::size_t>()->default_value(0),
+        "runs spent on a shorter plan when a promise is broken")(
+        "break", po::value<std::string>(),
+        "a promise that the soak itself breaks, which must be noticed");
+    return options;
+}
+
+std::optional<soak_options> take_options(po::variables_map const& given)
+{
+    constexpr std::size_t least_processes = 5;
+    constexpr std::size_t most_processes = 240;  // lanes of one loop
+    std::size_t const processes = given["processes"].as<std::size_t>();
+    double const minutes = given["minutes"].as<double>();
+    if (processes < least_processes || processes > most_processes ||
+        !(minutes > 0)) {
+        std::cerr << "lagoon-soak: --processes takes 5 to 240, --minutes more "
+                     "than 0\n";
+        return std::nullopt;
+    }
+    soak_options options{};
+    options.plan = draw_plan(
+        given["seed"].as<std::uint64_t>(),
+        duration{static_cast<std::int64_t>(minutes * 60e6)}, processes);
+    if (given.count("plan") != 0) {
+        std::optional<soak_plan> const plan =
+            read_plan_file(given["plan"].as<std::string>());
+        if (!plan)
+            return std::nullopt;
+        options.plan = *plan;
+    }
+    options.most_parts = given["shrink"].as<std::size_t>();
+    options.run.programs = given["programs"].as<std::string>();
+    options.run.folder = given["folder"].as<std::string>() + "-" +
+                         std::to_string(options.plan.seed) + "-" +
+                         std::to_string(::getpid());
+    if (given.count("break") == 0)
+        return options;
+    options.run.broken_on_purpose =
+        promise_named(given["break"].as<std::string>());
+    if (options.run.broken_on_purpose == promise::last) {
+        std::cerr << "lagoon-soak: --break takes a promise\n";
+        return std::nullopt;
+    }
+    return options;
+}
+
+int run(soak_options const& options)
+{
+    outcome const result = run_once(options.plan, options.run);
+    if (!result.was_run)
+        return exit_failed;
+    if (result.broken.empty()) {
+        std::filesystem::remove_all(options.run.folder);
+        return exit_good;
+    }
+    std::cout << "kept in " << options.run.folder << '\n';
+    if (options.most_parts > 0)
+        shrink(options, result.broken.front().what);
+    return exit_failed;
+}
+
+}  // namespace
+
+}  // namespace lagoon::soak
+
+int main(int count, char** arguments)
+{
+    using namespace lagoon;
+    namespace po = boost::program_options;
+    po::options_description const options = soak::described();
+    po::variables_map const given =
+        stand_ins::read_options(count, arguments, options);
+    if (given.count("help") != 0) {
+        std::cout << options;
+        return exit_good;
+    }
+    std::optional<soak::soak_options> const wanted = soak::take_options(given);
+    if (!wanted)
+        return exit_bad_input;
+    lws_set_log_level(0, nullptr);
+    catch_stop_signals();
+    return soak::run(*wanted);
+}
--- /dev/null
+++ b/tests/soak/packet.hpp
@@ -0,0 +1,53 @@
+// Packets as requesters and back ends of the soak see them. How they look is
+// the business of the platform's test folder.
+//
+// Index
+//   soak_packet     one packet, decoded
+//   soak_format     the concept of what encodes it
+#pragma once
+
+#include "connection/packet.hpp"
+
+#include <concepts>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lagoon::soak {
+
+// ---- soak_packet --------------------------------------------------------
+
+struct soak_packet
+{
+    connection_ends ends = {};
+    bool by_caller = true;  // else by the back end, or a reset of a process
+    bool opens = false;
+    bool acknowledges = false;
+    bool finishes = false;
+    bool resets = false;
+    bool is_returned = false;  // by a back end that doesn't take it
+    bool is_genuine = true;    // its sum is that of its sender
+    std::uint32_t sequence = 0;
+    std::uint32_t acknowledged = 0;
+    std::string data = {};
+    auto operator<=>(soak_packet const&) const = default;
+};
+
+using soak_packets = std::vector<soak_packet>;
+
+// ---- soak_format --------------------------------------------------------
+
+template <class F>
+concept soak_format = requires(soak_packet const& packet,
+                               std::string_view bytes, bool by_caller)
+{
+    {
+        F::write(packet)
+        } -> std::same_as<std::string>;
+    {
+        F::parse(bytes, by_caller)
+        } -> std::same_as<std::optional<soak_packet>>;
+};
+
+}  // namespace lagoon::soak
--- /dev/null
+++ b/tests/soak/plan.cpp
@@ -0,0 +1,242 @@
+#include "plan.hpp"
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+
+namespace lagoon::soak {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+struct kind_traits
+{
+    char const* name = "";
+    bool planned = false;
+    bool of_entries = true;   // may strike one
+    bool of_targets = false;  // may strike the process beside one
+    unsigned weight = 1;      // how often it is drawn
+};
+
+// In the order of fault_kind.
+constexpr std::array<kind_traits, static_cast<std::size_t>(fault_kind::last)>
+    traits{{{"freeze", false, true, true, 3},
+            {"kill", false, true, true, 3},
+            {"stop", true, true, false, 3},
+            {"reread", true, true, true, 1},
+            {"change_settings", true, true, true, 1},
+            {"spoil_settings", true, true, true, 1},
+            {"cut_in", false, true, true, 2},
+            {"cut_out", false, true, true, 2},
+            {"lose", false, true, true, 2},
+            {"hold_up", false, true, true, 2},
+            {"repeat", false, true, true, 2},
+            {"crash_back_end", false, false, true, 2},
+            {"replace_target", true, false, true, 3},
+            {"store_down", false, true, false, 1},
+            {"store_silent", false, true, false, 1},
+            {"store_breaks", false, true, false, 1},
+            {"store_slow", false, true, false, 1},
+            {"store_stale", false, true, false, 1},
+            {"store_refuses", false, true, false, 2},
+            {"store_forgets", false, true, false, 2},
+            {"change_routes", true, true, false, 3},
+            {"kill_all", false, true, false, 0}}};
+
+// Faults overlap: on the mean one begins each second among two dozen
+// processes, and lasts for two.
+constexpr double seconds_per_fault = 24;           // times processes
+constexpr std::uint64_t longest_span = 4'000'000;  // microseconds
+constexpr double largest_share = 0.3;
+
+// Of the whole: what the bound of recovery and the look after it take.
+constexpr duration kill_all_span = 17s;
+
+kind_traits const& traits_of(fault_kind kind)
+{
+    return traits.at(static_cast<std::size_t>(kind));
+}
+
+std::optional<fault_kind> kind_named(std::string const& name)
+{
+    for (std::size_t i = 0; i < traits.size(); ++i)
+        if (name == traits.at(i).name)
+            return static_cast<fault_kind>(i);
+    return std::nullopt;
+}
+
+class plan_drawer
+{
+public:
+    explicit plan_drawer(std::uint64_t seed) : random(seed) {}
+
+    fault_kind kind()
+    {
+        unsigned sum = 0;
+        for (kind_traits const& one : traits)
+            sum += one.weight;
+        std::size_t left = pick_below(this->random, sum);
+        std::size_t i = 0;
+        while (left >= traits.at(i).weight)
+            left -= traits.at(i++).weight;
+        return static_cast<fault_kind>(i);
+    }
+
+    fault draw(duration at, soak_plan const& plan)
+    {
+        fault one{.at = at, .kind = this->kind()};
+        kind_traits const& about = traits_of(one.kind);
+        std::size_t const first = about.of_entries ? 0 : plan.entries;
+        std::size_t const end =
+            about.of_targets ? plan.entries + plan.targets : plan.entries;
+        one.machine = first + pick_below(this->random, end - first);
+        one.span = duration{static_cast<std::int64_t>(
+            100'000 + pick_below(this->random, longest_span))};
+        one.share = this->unit() * largest_share;
+        return one;
+    }
+
+    duration gap(std::size_t processes)
+    {
+        double const mean = seconds_per_fault / static_cast<double>(processes);
+        double const seconds = -std::log(1 - this->unit()) * mean;
+        return duration{static_cast<std::int64_t>(seconds * 1e6)};
+    }
+
+    double unit()
+    {
+        return std::uniform_real_distribution<double>{0, 1}(this->random);
+    }
+
+private:
+    seeded_random random;
+};
+
+// Nothing else begins while the whole comes back.
+void add_kill_all(soak_plan& plan, duration at)
+{
+    std::erase_if(plan.faults, [at](fault const& one) {
+        return one.at + one.span > at && one.at < at + kill_all_span;
+    });
+    plan.faults.push_back(
+        {.at = at, .span = kill_all_span, .kind = fault_kind::kill_all});
+    std::sort(plan.faults.begin(), plan.faults.end());
+}
+
+fault read_fault(json_checker& checker, json_place const& place)
+{
+    constexpr double whole = 1000;
+    checker.only(place, {"at_ms", "span_ms", "kind", "machine", "per_mille"});
+    std::optional<fault_kind> const kind =
+        kind_named(checker.text(place, "kind"));
+    if (!kind)
+        checker.problem(place, "a kind of fault");
+    return {.at = std::chrono::milliseconds{checker.number(place, "at_ms")},
+            .span = std::chrono::milliseconds{checker.number(place, "span_ms")},
+            .kind = kind.value_or(fault_kind::freeze),
+            .machine = checker.number(place, "machine"),
+            .share = static_cast<double>(
+                         checker.number_or(place, "per_mille", 0, {0, 1000})) /
+                     whole};
+}
+
+soak_plan read_plan(json_checker& checker, json_place const& place)
+{
+    checker.only(place, {"seed", "length_ms", "entries", "targets", "faults"});
+    soak_plan plan{
+        .seed = checker.number(place, "seed"),
+        .length = std::chrono::milliseconds{checker.number(place, "length_ms")},
+        .entries = checker.number(place, "entries", {1, 250}),
+        .targets = checker.number(place, "targets", {1, 250})};
+    for (json_place const& one : checker.list(place, "faults"))
+        plan.faults.push_back(read_fault(checker, one));
+    for (fault const& one : plan.faults)
+        if (one.machine >= plan.entries + plan.targets)
+            checker.problem(place, "faults of machines that there are");
+    return plan;
+}
+
+std::string milliseconds(duration span)
+{
+    return std::to_string(span / 1ms);
+}
+
+}  // namespace
+
+char const* to_text(fault_kind value)
+{
+    return traits_of(value).name;
+}
+
+bool is_planned(fault_kind value)
+{
+    return traits_of(value).planned;
+}
+
+soak_plan draw_plan(std::uint64_t seed, duration length, std::size_t processes)
+{
+    plan_drawer drawer{seed};
+    std::size_t const entries = std::max<std::size_t>(2, processes / 4);
+    std::size_t const targets = std::max<std::size_t>(3, processes - entries);
+    soak_plan plan{seed, length, entries, targets, {}};
+    for (duration at = calm_start + drawer.gap(processes);
+         at < length - calm_end; at += drawer.gap(processes))
+        plan.faults.push_back(drawer.draw(at, plan));
+    duration const room = length - calm_start - calm_end - kill_all_span;
+    if (room > duration{})
+        add_kill_all(
+            plan, calm_start +
+                      duration{static_cast<std::int64_t>(
+                          drawer.unit() * static_cast<double>(room.count()))});
+    return plan;
+}
+
+std::optional<soak_plan> parse_plan(json_checker& checker,
+                                    std::string const& text)
+{
+    return parse_checked(checker, text, read_plan);
+}
+
+std::string write_plan(soak_plan const& plan)
+{
+    std::string text = "{\n  \"seed\": " + std::to_string(plan.seed) +
+                       ",\n  \"length_ms\": " + milliseconds(plan.length) +
+                       ",\n  \"entries\": " + std::to_string(plan.entries) +
+                       ",\n  \"targets\": " + std::to_string(plan.targets) +
+                       ",\n  \"faults\": [";
+    for (fault const& one : plan.faults)
+        text += std::string{&one == plan.faults.data() ? "" : ","} +
+                "\n    {\"at_ms\": " + milliseconds(one.at) +
+                ", \"span_ms\": " + milliseconds(one.span) + ", \"kind\": \"" +
+                to_text(one.kind) +
+                "\", \"machine\": " + std::to_string(one.machine) +
+                ", \"per_mille\": " +
+                std::to_string(std::lround(one.share * 1000)) + "}";
+    return text + "\n  ]\n}\n";
+}
+
+std::vector<soak_plan> parts_of(soak_plan const& plan)
+{
+    std::size_t const count = plan.faults.size();
+    std::vector<soak_plan> parts;
+    auto const add = [&](std::size_t from, std::size_t upto, bool keep) {
+        soak_plan part = plan;
+        part.faults.clear();
+        for (std::size_t i = 0; i < count; ++i)
+            if ((i >= from && i < upto) == keep)
+                part.faults.push_back(plan.faults[i]);
+        if (part.faults.size() < count)
+            parts.push_back(part);
+    };
+    if (count < 2)
+        return parts;
+    add(0, count / 2, true);
+    add(count / 2, count, true);
+    if (count >= 4)
+        for (std::size_t i = 0; i < 4; ++i)
+            add(count * i / 4, count * (i + 1) / 4, false);
+    return parts;
+}
+
+}  // namespace lagoon::soak
