The soak's stand-ins are shared with the platform's stories

Change: both stand with the platform's tests, whose stories read them with the product's own reader and packets; bodies of the soak's templates stand in their classes. No behaviour changed.

--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -7,9 +7,9 @@
 #include "documents/files.hpp"
 #include "loop/signals.hpp"
 #include "programs/command_line.hpp"
-#include "soak_packets.hpp"
 #include "soak_run.hpp"
-#include "soak_store.hpp"
+#include "stand_in_packets.hpp"
+#include "stand_in_store.hpp"
 #include "stand_ins/options.hpp"
 
 #include <filesystem>
@@ -23,7 +23,7 @@
 namespace po = boost::program_options;
 
 using platform_soak =
-    soak_run<platform::platform_soak_packets, platform::soak_store>;
+    soak_run<platform::stand_in_packets, platform::stand_in_store>;
 
 // Runs at the same time use networks of their own.
 constexpr std::uint32_t first_net = 16;
