Send little to back ends that fail what they are given

Cause: a back end that breaks its requests off, or answers that they failed, is done with each at once, so its target always seems free and draws work from those that do it. Ruled out: silence and returned packets (already noticed); slowness, which fills slots and so is answered by placing alone. Change: the target keeps the latest outcomes of its back end (resets in the midst of a request, answers with a failing status, 'full' while slots are free, requests that were never answered). An unwell back end counts as four requests a slot fuller, and is tried with one request at a time each 250 ms, of those that callers repeat. So all of a service that fails is used as before.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -3,6 +3,7 @@
 // Index
 //   refusal     why a request was turned away, and when to come back
 //   urgency     until when a request is of use
+//   vain_slot   one that is held for nothing
 //   admission   the aggregate, over a queue policy and a predictor
 #pragma once
 
@@ -53,6 +54,14 @@
     auto operator<=>(request_urgency const&) const = default;
 };
 
+// A slot that is held for nothing.
+struct vain_slot
+{
+    request_key key = {};
+    bool has_begun = false;  // a request of it reached the back end
+    auto operator<=>(vain_slot const&) const = default;
+};
+
 // ---- admission ----------------------------------------------------------
 
 template <queue_policy Queue, running_time_predictor Predictor> class admission
@@ -149,15 +158,29 @@
 
     // Slots that are held for nothing: no request came within the first
     // span, or one has run longer than any does, so that its end was lost.
-    std::vector<request_key> held_in_vain(duration until_begun,
-                                          duration longest_run,
-                                          time_point now) const
+    std::vector<vain_slot> held_in_vain(duration until_begun,
+                                        duration longest_run,
+                                        time_point now) const
     {
-        std::vector<request_key> keys;
+        std::vector<vain_slot> slots;
         for (auto const& [key, run] : this->running)
             if (now - run.since > (run.has_begun ? longest_run : until_begun))
-                keys.push_back(key);
-        return keys;
+                slots.push_back({key, run.has_begun});
+        return slots;
+    }
+
+    // Whether a request has run far longer than usual for its kind.
+    bool has_stuck(double times_usual, duration least, time_point now) const
+    {
+        return std::any_of(
+            this->running.begin(), this->running.end(), [&](auto const& one) {
+                running_request const& run = one.second;
+                duration const limit{static_cast<std::int64_t>(
+                    static_cast<double>(run.what.predicted.count()) *
+                    times_usual)};
+                return run.has_begun &&
+                       now - run.since > std::max(limit, least);
+            });
     }
 
     // The target's number of slots is what its operator publishes.
--- a/src/connection/format.hpp
+++ b/src/connection/format.hpp
@@ -21,6 +21,7 @@
 {
     connection_packet packet = {};
     bool is_returned = false;  // a caller's packet that it doesn't take
+    answer_report report = answer_report::none;
     auto operator<=>(back_end_packet const&) const = default;
 };
 
--- a/src/connection/packet.hpp
+++ b/src/connection/packet.hpp
@@ -4,6 +4,7 @@
 // Index
 //   connection_ends     names a connection
 //   connection_packet   one packet, as much of it as decisions need
+//   answer_report       what the answer that a packet begins says of itself
 #pragma once
 
 #include "base/values.hpp"
@@ -59,4 +60,13 @@
     auto operator<=>(connection_packet const&) const = default;
 };
 
+// ---- answer_report ------------------------------------------------------
+
+enum class answer_report : std::uint8_t
+{
+    none,    // nothing bad, or no answer begins here
+    failed,  // the request failed at the back end
+    full     // it hasn't run: there was no room for it
+};
+
 }  // namespace lagoon
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -249,8 +249,11 @@
                 : this->candidates(*part, packet.ends, last, now);
     std::vector<placing_target> targets = detail::placing_targets(
         ranked, is_copy ? std::optional{owner->target} : std::nullopt, last);
-    request_terms const terms{
-        route->address, route->objective, route->deadline, route->priority, {}};
+    request_terms const terms{.route = route->address,
+                              .objective = route->objective,
+                              .deadline = route->deadline,
+                              .priority = route->priority,
+                              .may_repeat = route->is_idempotent};
     this->begin(effects,
                 {packet,
                  *service,
--- a/src/programs/connection_log.cpp
+++ b/src/programs/connection_log.cpp
@@ -50,6 +50,10 @@
         return "gone";
     case tracking_result::adopted:
         return "adopted";
+    case tracking_result::unwell:
+        return "unwell";
+    case tracking_result::well:
+        return "well";
     case tracking_result::table_full:
         return "table_full";
     }
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -26,6 +26,7 @@
     duration deadline = {};     // a later answer is of no use; 0: none
     std::uint8_t priority = 0;  // 0 is the most urgent
     duration age = {};          // since the caller first asked, as far as known
+    bool may_repeat = true;     // its callers repeat what has failed
     auto operator<=>(request_terms const&) const = default;
 };
 
--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -12,6 +12,7 @@
 #include "admission/objective_queue.hpp"
 #include "membership/adoption.hpp"
 #include "tracking/back_end_monitor.hpp"
+#include "tracking/conduct.hpp"
 #include "tracking/connections.hpp"
 #include "tracking/waiting_opens.hpp"
 
@@ -34,6 +35,7 @@
 struct packet_from_back_end
 {
     connection_packet packet = {};
+    answer_report report = answer_report::none;
     auto operator<=>(packet_from_back_end const&) const = default;
 };
 
@@ -89,6 +91,8 @@
     returned,    // the back end returned a packet
     gone,        // reset: the back end no longer holds the connection
     adopted,     // a connection from before this process started
+    unwell,      // the back end fails what it is given; work goes round it
+    well,        // it does its work again
     table_full
 };
 
@@ -130,6 +134,18 @@
     // No request runs longer: its end was lost with the caller.
     duration longest_run = std::chrono::seconds{1};
 
+    // A request that has run so many times as long as usual for its kind, and
+    // at least the second, is stuck: one in a thousand gets there unhurt, at a
+    // running time whose tail is seven times the mean.
+    double stuck_times_usual = 12;
+    duration stuck_at_least = std::chrono::milliseconds{300};
+
+    conduct_limits conduct = {};
+
+    // How many requests for each slot an unwell back end counts as holding
+    // beyond its own: a queue at another one of up to this length is better.
+    std::uint32_t unwell_counts_as = 4;
+
     // A stopping target stays while connections were in use this recently,
     // and no longer than the second.
     duration idle_before_stop = std::chrono::milliseconds{600};
@@ -184,7 +200,7 @@
     void give_open(effects_type& effects, connection_packet const& packet,
                    peer_address entry, time_point now);
     void start_waiting(effects_type& effects, time_point now);
-    void expire_running(time_point now);
+    void expire_running(effects_type& effects, time_point now);
     void take_other(effects_type& effects, offer_from_entry const& event,
                     time_point now);
     void deliver(effects_type& effects, offer_from_entry const& event,
@@ -192,6 +208,12 @@
     void answer(effects_type& effects, offer_from_entry const& event,
                 offer_verdict verdict, bool with_packet, time_point now);
     bool knows_all(time_point now) const;
+    // Whether a request may be given to the back end at once.
+    bool is_free_for(offer_from_entry const& event, time_point now);
+    bool is_unwell(time_point now) const;
+    std::uint32_t told_load(time_point now) const;
+    void note_outcome(effects_type& effects, connection_ends const& ends,
+                      run_outcome how, time_point now);
     work_kind kind_of(peer_address route) const;
     tracking_note note(tracking_result result, connection_ends const& ends,
                        duration took) const;
@@ -200,6 +222,7 @@
     admission<Q, T> gate;
     connection_table table;
     back_end_monitor monitor = {};
+    back_end_conduct conduct;
     waiting_opens waiting = {};
     time_point started;
     std::optional<time_point> stopping_since = {};
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -30,7 +30,7 @@
 connection_target<Q, T>::connection_target(connection_target_settings settings,
                                            time_point now)
     : settings(settings), gate(settings.admission, now),
-      table(settings.connections), started(now)
+      table(settings.connections), conduct(settings.conduct), started(now)
 {
 }
 
@@ -111,15 +111,15 @@
 void connection_target<Q, T>::answer(effects_type& effects,
                                      offer_from_entry const& event,
                                      offer_verdict verdict, bool with_packet,
-                                     time_point)
+                                     time_point now)
 {
     bool const asked = event.offer.question != question_id{};
     if (!asked && !with_packet)
         return;
     effects.push_back(answer_entry{
         event.from,
-        {event.offer.question, verdict, this->gate.load(), this->gate.slots(),
-         asked ? std::string{} : event.packet.bytes}});
+        {event.offer.question, verdict, this->told_load(now),
+         this->gate.slots(), asked ? std::string{} : event.packet.bytes}});
 }
 
 // ---- offers of entries --------------------------------------------------
@@ -191,9 +191,8 @@
                                     offer_from_entry const& event,
                                     time_point now)
 {
-    this->expire_running(now);
-    bool const is_free = this->gate.has_free_slot(now);
-    if (!is_free && !event.offer.insists) {
+    this->expire_running(effects, now);
+    if (!event.offer.insists && !this->is_free_for(event, now)) {
         this->answer(effects, event, offer_verdict::busy, false, now);
         return;
     }
@@ -291,11 +290,61 @@
 
 // Callers that gave up say nothing, so their slots are freed by time.
 template <queue_policy Q, running_time_predictor T>
-void connection_target<Q, T>::expire_running(time_point now)
+void connection_target<Q, T>::expire_running(effects_type& effects,
+                                             time_point now)
 {
-    for (request_key const key : this->gate.held_in_vain(
-             this->settings.handshake_limit, this->settings.longest_run, now))
-        this->gate.release(key);
+    for (vain_slot const& one : this->gate.held_in_vain(
+             this->settings.handshake_limit, this->settings.longest_run, now)) {
+        this->gate.release(one.key);
+        if (one.has_begun)
+            this->note_outcome(effects, {}, run_outcome::failed, now);
+    }
+}
+
+// ---- how the back end does ----------------------------------------------
+
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::note_outcome(effects_type& effects,
+                                           connection_ends const& ends,
+                                           run_outcome how, time_point now)
+{
+    if (this->conduct.ended(how, now))
+        effects.push_back(this->note(this->conduct.is_unwell()
+                                         ? tracking_result::unwell
+                                         : tracking_result::well,
+                                     ends, {}));
+}
+
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::is_unwell(time_point now) const
+{
+    return this->conduct.is_unwell() ||
+           this->gate.has_stuck(this->settings.stuck_times_usual,
+                                this->settings.stuck_at_least, now);
+}
+
+// An unwell back end is given one request at a time, now and then.
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::is_free_for(offer_from_entry const& event,
+                                          time_point now)
+{
+    if (!this->gate.has_free_slot(now))
+        return false;
+    if (!this->is_unwell(now))
+        return true;
+    bool const may_repeat = !event.offer.terms || event.offer.terms->may_repeat;
+    if (this->gate.load() > 0 || !this->conduct.may_try(may_repeat, now))
+        return false;
+    this->conduct.tried(now);
+    return true;
+}
+
+template <queue_policy Q, running_time_predictor T>
+std::uint32_t connection_target<Q, T>::told_load(time_point now) const
+{
+    std::uint32_t const beyond =
+        this->is_unwell(now) ? this->settings.unwell_counts_as : 0;
+    return this->gate.load() + beyond * this->gate.slots();
 }
 
 // ---- other packets of callers -------------------------------------------
@@ -397,6 +446,17 @@
     bool const answers =
         packet.size > 0 && next.stage == connection_stage::asked;
     bool const ends = packet.finishes || packet.resets;
+    // The end of an answer may overtake its data; a reset ends it at once.
+    bool const broke_off =
+        packet.resets && next.stage == connection_stage::asked;
+    // One that is full while its slots are free fails, too.
+    bool const is_really_full = this->gate.load() > this->gate.slots();
+    bool const fails = broke_off || event.report == answer_report::failed ||
+                       (event.report == answer_report::full && !is_really_full);
+    if (answers || broke_off)
+        this->note_outcome(effects, packet.ends,
+                           fails ? run_outcome::failed : run_outcome::answered,
+                           now);
     if (answers) {
         effects.push_back(this->note(tracking_result::answered, packet.ends,
                                      now - next.since));
@@ -457,7 +517,7 @@
             record.entry,
             {{},
              packet.opens ? offer_verdict::no_answer : offer_verdict::not_owner,
-             this->gate.load(),
+             this->told_load(now),
              this->gate.slots(),
              packet.bytes}});
     this->start_waiting(effects, now);
@@ -480,7 +540,7 @@
         effects.push_back(answer_entry{record->entry,
                                        {{},
                                         offer_verdict::no_answer,
-                                        this->gate.load(),
+                                        this->told_load(now),
                                         this->gate.slots(),
                                         one.bytes}});
         this->gate.release(detail::slot_key(one.ends));
@@ -499,11 +559,11 @@
         effects.push_back(answer_entry{open->entry,
                                        {{},
                                         offer_verdict::refused,
-                                        this->gate.load(),
+                                        this->told_load(now),
                                         this->gate.slots(),
                                         open->packet.bytes}});
     }
-    this->expire_running(now);
+    this->expire_running(effects, now);
     this->start_waiting(effects, now);
     this->table.sweep(now);
 }
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -6,7 +6,7 @@
 
 void write(packet_writer& out, packet_offer const& offer)
 {
-    out.begin(offer.terms ? 11 : 5, packet_kind::offer);
+    out.begin(offer.terms ? 12 : 5, packet_kind::offer);
     out.put(std::uint64_t{offer.question.value});
     out.put(offer.service.value);
     out.put(std::uint64_t{offer.slots});
@@ -19,6 +19,7 @@
     out.put(offer.terms->deadline);
     out.put(std::uint64_t{offer.terms->priority});
     out.put(offer.terms->age);
+    out.put(std::uint64_t{offer.terms->may_repeat ? 1U : 0U});
 }
 
 void write(packet_writer& out, offer_answer const& answer)
@@ -41,7 +42,8 @@
     duration const objective = in.span();
     duration const deadline = in.span();
     auto const priority = static_cast<std::uint8_t>(in.number(UINT8_MAX));
-    return {route, objective, deadline, priority, in.span()};
+    duration const age = in.span();
+    return {route, objective, deadline, priority, age, in.number(1) == 1};
 }
 
 }  // namespace
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -217,6 +217,12 @@
         this->targets[index].back_end.factor = factor;
     }
 
+    // A back end that breaks off this share of its requests at once.
+    void break_off_at(std::size_t index, double share)
+    {
+        this->targets[index].back_end.breaks_off = share;
+    }
+
     // Everything loses power and comes back after `dark`, each VM up to 300 ms
     // later than the first.
     void power_off_all(duration dark)
@@ -357,6 +363,7 @@
     std::size_t platform_calls = 0;
     std::size_t resets = 0;            // that reached callers
     std::size_t searches = 0;          // questions about open connections
+    std::size_t broken_off = 0;        // requests, by their back ends
     std::size_t foreign_packets = 0;   // that reached a wrong service
     std::size_t clients_of_each = 25;  // addresses that callers share
     bool keeps_notes = false;
@@ -421,6 +428,7 @@
         std::uint64_t life = 0;
         time_point cold_until = {};
         double factor = 1;
+        double breaks_off = 0;  // share of the requests
         std::uint32_t running = 0;
         std::vector<connection_ends> queue = {};
         std::map<connection_ends, held_connection> held = {};
@@ -620,6 +628,10 @@
         if (found == this->attempt_of.end())
             return;
         attempt& one = this->attempts[found->second];
+        if (packet.resets) {
+            this->reach_caller_reset(packet.ends);
+            return;
+        }
         if (packet.accepts && !one.opened && !one.over) {
             one.opened = true;
             one.sequence = packet.sequence + 1;
@@ -997,6 +1009,12 @@
         if (held.asked)
             return;
         held.asked = true;
+        if (back_end.breaks_off > 0 && this->unit() < back_end.breaks_off) {
+            ++this->broken_off;
+            this->from_back_end(index, {.ends = packet.ends, .resets = true},
+                                false);
+            return;
+        }
         if (back_end.running < traits.slots)
             this->run(index, packet.ends);
         else if (back_end.queue.size() < traits.queue)
--- a/tests/stories/connection_target_story.cpp
+++ b/tests/stories/connection_target_story.cpp
@@ -483,3 +483,163 @@
     this->offer_data(1);
     CHECK(this->role.may_stop(this->now));
 }
+
+// ---- a back end that fails ----------------------------------------------
+
+namespace {
+
+struct a_failing_back_end : a_connection_target
+{
+    // The back end breaks a request off.
+    void fail(std::uint16_t port)
+    {
+        this->run_request(port);
+        connection_packet packet{};
+        packet.ends = ends_of(port);
+        packet.resets = true;
+        packet.sequence = first_sequence + 1;
+        this->feed(packet_from_back_end{packet}, 5ms);
+    }
+
+    // Or answers that it failed, or that it is full.
+    void answer_failure(std::uint16_t port,
+                        answer_report report = answer_report::failed)
+    {
+        this->run_request(port);
+        connection_packet packet{};
+        packet.ends = ends_of(port);
+        packet.sequence = first_sequence + 1;
+        packet.size = 100;
+        this->feed(packet_from_back_end{packet, report}, 5ms);
+    }
+
+    std::size_t notes(tracking_result result) const
+    {
+        std::size_t sum = 0;
+        for (connection_target_effect const& one : this->effects)
+            if (auto const* note = std::get_if<tracking_note>(&one))
+                sum += note->result == result;
+        return sum;
+    }
+};
+
+}  // namespace
+
+SECTION(a_back_end_that_fails_requests, a_failing_back_end){};
+
+TEST(a_back_end_that_fails_requests, is_offered_no_more_of_them)
+{
+    this->fail(1);
+    this->answer_failure(2);
+    UNSIGNED_LONGS_EQUAL(1, this->notes(tracking_result::unwell));
+    this->offer_open(3);
+    CHECK(this->tells(offer_verdict::busy));
+    // As if four requests waited for each of its slots.
+    UNSIGNED_LONGS_EQUAL(8, this->told()->load);
+}
+
+TEST(a_back_end_that_fails_requests,
+     may_also_say_that_it_is_full_with_free_slots)
+{
+    this->answer_failure(1, answer_report::full);
+    this->answer_failure(2, answer_report::full);
+    this->offer_open(3);
+    CHECK(this->tells(offer_verdict::busy));
+}
+
+TEST(a_back_end_that_fails_requests, is_not_one_that_is_full_indeed)
+{
+    for (std::uint16_t port = 11; port < 14; ++port) {
+        this->offer_open(port, true);
+        this->accept(port);
+        this->offer_data(port);
+    }
+    this->answer_failure(1, answer_report::full);
+    this->answer_failure(2, answer_report::full);
+    UNSIGNED_LONGS_EQUAL(0, this->notes(tracking_result::unwell));
+}
+
+TEST(a_back_end_that_fails_requests, takes_them_when_there_is_nobody_else)
+{
+    this->fail(1);
+    this->fail(2);
+    this->offer_open(3, true);
+    CHECK(this->tells(offer_verdict::taken));
+}
+
+// Packets of one moment may change places on the way.
+TEST(a_back_end_that_fails_requests, is_not_one_whose_answers_end_comes_first)
+{
+    for (std::uint16_t port = 1; port < 9; ++port) {
+        this->run_request(port);
+        connection_packet end{};
+        end.ends = ends_of(port);
+        end.finishes = true;
+        end.sequence = first_sequence + 1001;
+        this->feed(packet_from_back_end{end}, 5ms);
+        UNSIGNED_LONGS_EQUAL(0, this->notes(tracking_result::unwell));
+        this->answer(port, 0ms);
+    }
+    this->offer_open(9);
+    CHECK(this->tells(offer_verdict::taken));
+}
+
+TEST(a_back_end_that_fails_requests, is_tried_with_one_at_a_time)
+{
+    this->fail(1);
+    this->fail(2);
+    this->feed(clock_tick{}, 250ms);
+    this->offer_open(3);
+    CHECK(this->tells(offer_verdict::taken));
+    this->feed(clock_tick{}, 60ms);
+    this->offer_open(4);
+    CHECK(this->tells(offer_verdict::busy));
+}
+
+TEST(a_back_end_that_fails_requests, is_not_tried_with_what_may_run_once)
+{
+    this->fail(1);
+    this->fail(2);
+    this->feed(clock_tick{}, 250ms);
+    request_terms terms = this->terms();
+    terms.may_repeat = false;
+    this->feed(offer_from_entry{
+        entry, {{99}, this->members, 2, false, terms, {}}, this->opening(3)});
+    CHECK(this->tells(offer_verdict::busy));
+}
+
+TEST(a_back_end_that_fails_requests, is_used_again_when_it_answers)
+{
+    this->fail(1);
+    this->fail(2);
+    for (std::uint16_t port = 3; port < 6; ++port) {
+        this->feed(clock_tick{}, 250ms);
+        this->run_request(port);
+        this->answer(port, 10ms);
+    }
+    UNSIGNED_LONGS_EQUAL(1, this->notes(tracking_result::well));
+    this->offer_open(7);
+    CHECK(this->tells(offer_verdict::taken));
+    UNSIGNED_LONGS_EQUAL(1, this->told()->load);
+}
+
+TEST(a_back_end_that_fails_requests, is_noticed_while_a_request_is_stuck)
+{
+    this->run_request(1);
+    this->feed(clock_tick{}, 290ms);
+    this->offer_open(2);
+    CHECK(this->tells(offer_verdict::taken));
+    this->accept(2);
+    this->feed(clock_tick{}, 20ms);
+    this->offer_open(3);
+    CHECK(this->tells(offer_verdict::busy));
+    CHECK(this->told()->load > 8);
+}
+
+TEST(a_back_end_that_fails_requests, is_unwell_after_two_were_never_answered)
+{
+    this->run_request(1);
+    this->run_request(2);
+    this->feed(clock_tick{}, 1001ms);
+    UNSIGNED_LONGS_EQUAL(1, this->notes(tracking_result::unwell));
+}
