Search every service of a split route for an open connection's owner

Cause: an entry that doesn't know a connection looked for its owner in the one service that the route's weights give now. After a change of weights and a restart the connection was found nowhere. Change: the search goes on with the route's other services, those of weight 0 too, one after the other; a route with one service is searched as before. Tests: two stories, which failed first.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -207,6 +207,13 @@
     void search(effects_type& effects, connection_packet const& packet,
                 std::optional<peer_address> first,
                 std::optional<peer_address> last, time_point now);
+    bool search_in(effects_type& effects, connection_packet const& packet,
+                   std::vector<service_id> const& services,
+                   std::optional<peer_address> first,
+                   std::optional<peer_address> last, time_point now);
+    void search_on(effects_type& effects, connection_packet const& packet,
+                   service_id searched, placement_note const& note,
+                   time_point now);
     void search_again(effects_type& effects, connection_packet const& packet,
                       peer_address returned_by, time_point now);
     void search_among(effects_type& effects, connection_packet const& packet,
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -38,6 +38,21 @@
     return std::nullopt;
 }
 
+// The services that a connection may be at: that one, and the others of a
+// route whose weights may have been different when it was opened.
+inline std::vector<service_id> services_for(route_record const& route,
+                                            connection_ends const& ends)
+{
+    std::vector<service_id> services;
+    if (std::optional<service_id> const first = service_for(route, ends))
+        services.push_back(*first);
+    for (weighted_service const& one : route.services)
+        if (std::find(services.begin(), services.end(), one.service) ==
+            services.end())
+            services.push_back(one.service);
+    return services;
+}
+
 inline std::vector<placing_target>
 placing_targets(std::vector<target_record const*> const& ranked,
                 std::optional<peer_address> first,
@@ -295,20 +310,54 @@
         this->refuse_route(effects, packet, {now, now}, now);
         return;
     }
-    std::optional<service_id> const service =
-        detail::service_for(*route, packet.ends);
-    service_part const* part =
-        service ? this->directory.find(*service) : nullptr;
-    if (part == nullptr) {
+    bool const goes_on = this->search_in(
+        effects, packet, detail::services_for(*route, packet.ends), first, last,
+        now);
+    if (!goes_on)
         effects.push_back(
             this->note(placement_result::owner_lost, packet.ends, now, now));
-        return;
+}
+
+// Searches in the first of the services that has targets; says whether one has.
+template <random_source R, placement_policy P>
+bool connection_entry<R, P>::search_in(effects_type& effects,
+                                       connection_packet const& packet,
+                                       std::vector<service_id> const& services,
+                                       std::optional<peer_address> first,
+                                       std::optional<peer_address> last,
+                                       time_point now)
+{
+    for (service_id const service : services) {
+        service_part const* part = this->directory.find(service);
+        if (part == nullptr)
+            continue;
+        search_record among{};
+        among.service = service;
+        among.left = detail::placing_targets(
+            rank_owners(*part, key_of(packet.ends)), first, last);
+        this->search_among(effects, packet, among, now);
+        return true;
     }
-    search_record among{};
-    among.service = *service;
-    among.left = detail::placing_targets(
-        rank_owners(*part, key_of(packet.ends)), first, last);
-    this->search_among(effects, packet, among, now);
+    return false;
+}
+
+// Nobody of a service owns the connection: the route's next one may.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::search_on(effects_type& effects,
+                                       connection_packet const& packet,
+                                       service_id searched,
+                                       placement_note const& note,
+                                       time_point now)
+{
+    route_record const* route = this->known.find_route(packet.ends.service);
+    std::vector<service_id> services;
+    if (route != nullptr)
+        services = detail::services_for(*route, packet.ends);
+    auto const at = std::find(services.begin(), services.end(), searched);
+    services.erase(services.begin(), at == services.end() ? at : at + 1);
+    if (!this->search_in(effects, packet, services, std::nullopt, std::nullopt,
+                         now))
+        this->lose(effects, note, now);
 }
 
 template <random_source R, placement_policy P>
@@ -340,8 +389,8 @@
     if (!begun)
         this->search(effects, packet, std::nullopt, returned_by, now);
     else if (begun->left.empty())
-        this->lose(
-            effects,
+        this->search_on(
+            effects, packet, begun->service,
             this->note(placement_result::owner_lost, packet.ends, now, now),
             now);
     else
@@ -466,7 +515,7 @@
     note.silent = what.silent;
     // One that stayed silent may be the owner.
     if (what.silent == 0)
-        this->lose(effects, note, now);
+        this->search_on(effects, what.packet, what.service, note, now);
     else
         effects.push_back(note);
 }
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -313,6 +313,41 @@
 }
 
 // A restarted target tried its back end, which doesn't hold the connection.
+// The weights have changed since, or the entry has restarted: a connection is
+// at any service that its route is split over, and stays there.
+TEST(an_entry, searches_in_every_service_of_a_split_route)
+{
+    route_record split = route_to(members_route, "members");
+    split.services = {{service_named("members"), 1},
+                      {service_named("archive"), 0}};
+    this->publish({split});
+    this->send(1);
+    for (int i = 0; i < 2; ++i) {
+        CHECK(this->offer().offer.service == service_named("members"));
+        this->answer(this->offer(), offer_verdict::not_owner);
+    }
+    CHECK(this->offer().to == archive_target);
+    CHECK(this->offer().offer.service == service_named("archive"));
+    this->answer(this->offer(), offer_verdict::taken);
+    this->send(1);
+    CHECK(this->offer().to == archive_target);
+}
+
+TEST(an_entry, gives_a_search_up_after_the_last_service_of_a_split_route)
+{
+    route_record split = route_to(members_route, "members");
+    split.services = {{service_named("members"), 1},
+                      {service_named("archive"), 0}};
+    this->publish({split});
+    this->send(1);
+    for (int i = 0; i < 3; ++i)
+        this->answer(this->offer(), offer_verdict::not_owner);
+    UNSIGNED_LONGS_EQUAL(0, this->all<send_offer>().size());
+    UNSIGNED_LONGS_EQUAL(1, this->all<placement_note>().size());
+    CHECK(this->all<placement_note>().front().result ==
+          placement_result::owner_lost);
+}
+
 TEST(an_entry, goes_on_with_a_search_where_it_was)
 {
     this->send(1);
