Never reset what another back end holds; close calls that end without a body

open_connections_stay, and packets_find_their_own behind it: a back end accepts an opening packet late, the packet is placed elsewhere as well, and the caller goes on there. Its data came to the first target, which didn't know yet what its back end would say, passed it on, got it back and took that for a restart: the open connection was reset. Now nothing is passed on before the back end has accepted (a process that has restarted aside), and a returned packet proves a restart only if it answers what this back end has sent.

routes_in_force: from 41 s on no entry reached the store. The soak had run out of descriptors: a call that ended with an empty body was never closed, since the library takes no notice of the callback's -1 there.

--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -301,6 +301,8 @@
     case LWS_CALLBACK_COMPLETED_CLIENT_HTTP:
         exchange.result.end = http_end::whole;
         loop.end_client(id);
+        // Where the answer has no body the library takes no notice of -1.
+        lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
         return -1;
     case LWS_CALLBACK_CLIENT_CONNECTION_ERROR:
         exchange.wsi = nullptr;
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -16,7 +16,6 @@
 
 #include <algorithm>
 #include <deque>
-#include <initializer_list>
 #include <map>
 #include <optional>
 #include <unordered_map>
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -375,9 +375,13 @@
                       now);
         return;
     }
+    // Before its back end has accepted there is nothing to go on with here,
+    // unless it has accepted by a process before this one.
+    bool const is_early =
+        record->stage == connection_stage::opening && this->knows_all(now);
     bool const is_other = record->stage == connection_stage::foreign ||
                           record->stage == connection_stage::waiting ||
-                          !acknowledges_this(*record, event.packet);
+                          is_early || !acknowledges_this(*record, event.packet);
     if (is_other)
         this->answer(effects, event, offer_verdict::not_owner, true, now);
     else
@@ -491,6 +495,7 @@
     this->gate.release(detail::slot_key(packet.ends));
     bool const was_held = found != nullptr && !packet.opens &&
                           record.knows_sequence &&
+                          acknowledges_this(record, packet) &&
                           record.stage != connection_stage::trial &&
                           record.stage != connection_stage::foreign;
     if (was_held) {
--- a/tests/stories/connection_target_story.cpp
+++ b/tests/stories/connection_target_story.cpp
@@ -427,6 +427,13 @@
     CHECK(this->tells(offer_verdict::taken));
 }
 
+TEST(a_target_that_has_restarted, lets_its_back_end_go_on_after_a_late_copy)
+{
+    this->offer_open(1);
+    this->offer_data(1);
+    UNSIGNED_LONGS_EQUAL(1, this->count<send_to_back_end>());
+}
+
 TEST(a_target_that_has_restarted, passes_on_no_reset_of_its_own)
 {
     this->offer_data(7, true, true);
@@ -643,3 +650,56 @@
     this->feed(clock_tick{}, 1001ms);
     UNSIGNED_LONGS_EQUAL(1, this->notes(tracking_result::unwell));
 }
+
+// ---- two back ends that accept one opening packet -----------------------
+
+namespace {
+
+// This back end is slow to accept; the caller goes on with another one.
+struct a_second_acceptor : a_connection_target
+{
+    connection_packet data_for_another() const
+    {
+        connection_packet packet = this->data(1);
+        packet.acknowledged = 77'000'001;
+        return packet;
+    }
+
+    void offer(connection_packet const& packet, bool asks)
+    {
+        question_id const question{asks ? ++this->last_question : 0};
+        this->feed(offer_from_entry{
+            entry, {question, this->members, 0, false, {}, {}}, packet});
+    }
+};
+
+}  // namespace
+
+SECTION(a_target_whose_back_end_accepts_late, a_second_acceptor){};
+
+// All that a back end sends passes its target, its acceptance first: nothing
+// that answers an acceptance can be for one that has sent none.
+TEST(a_target_whose_back_end_accepts_late, owns_nothing_before_it_has_accepted)
+{
+    this->offer_open(1);
+    this->offer(this->data_for_another(), false);
+    CHECK(this->tells(offer_verdict::not_owner));
+    UNSIGNED_LONGS_EQUAL(0, this->count<send_to_back_end>());
+}
+
+TEST(a_target_whose_back_end_accepts_late, never_resets_what_another_one_holds)
+{
+    this->offer_open(1);
+    this->accept(1, 100ms);
+    this->feed(packet_returned{this->data_for_another()}, 1ms);
+    UNSIGNED_LONGS_EQUAL(0, this->count<reset_connection>());
+    CHECK(this->tells(offer_verdict::not_owner));
+}
+
+TEST(a_target_whose_back_end_accepts_late, owns_it_once_the_caller_goes_on_here)
+{
+    this->offer_open(1);
+    this->accept(1, 100ms);
+    this->offer(this->data(1), false);
+    UNSIGNED_LONGS_EQUAL(1, this->count<send_to_back_end>());
+}
