Model connections without tokens as they are built

Cause: bare_callers modelled rules that the code doesn't keep (promises between targets), and none of those that it does. Change: two targets that may both accept, restarts of processes and of a back end, an entry that may believe anything.

--- a/models/bare_callers.pml
+++ b/models/bare_callers.pml
@@ -1,124 +1,165 @@
-/* Callers that repeat nothing: any packet may be a copy of the one request,
- * and the first-ranked target may change between copies. The entry opens on
- * the caller's behalf, so no token keeps two targets apart; four rules do.
+/* Connections without tokens, as they are built. An opening packet and its
+ * copies may reach both targets, and both back ends may accept. The caller goes
+ * on with one acceptance; its data may come to either target, since an entry
+ * may believe anything. Back ends and the processes beside them restart.
  *
- * Target 0 is first-ranked until the change, target 1 from then on. Target 0
- * may restart once. One non-idempotent request, copies in any order.
+ * An acceptance is named by its back end and that one's life. What a back end
+ * doesn't hold it returns to its target.
  *
  * Rules, each of which can be taken out with -DNO_<rule>:
- *   promise       a target that became first asks the earlier one; asked, it
- *                 promises in its ledger never to start the request
- *   refusal       a refused request stays refused in the ledger
- *   restart_rule  a restarted target's empty ledger proves nothing: a request
- *                 that may be older than it is answered `unknown`
- *   asking_rule   where the earlier target can't be asked, the request is
- *                 answered `unknown`
- *
- * Not in the code yet: docs/PROOFS.md lists it.
+ *   early_rule    before its back end has accepted, a target passes no data on,
+ *                 unless it has restarted and can't know
+ *   own_rule      a target passes on only what goes on with the acceptance of
+ *                 its own back end
+ *   return_rule   a returned packet proves that a back end has lost a
+ *                 connection only if it goes on with that one's acceptance
+ *   trial_rule    what a restarted target had its back end try proves nothing
+ *                 when it comes back
  */
 
-mtype = { none, queued, running, done, refused, promised };
+mtype = { none, opening, open, trial, foreign };
+
+#define ACCEPTANCE(target) (2 * (target) + life[target])
+#define NO_ACCEPTANCE 9
+
+byte life[2] = 0;            /* of the back end; restarts once */
+bit held[2] = 0;             /* the back end holds a connection of this life */
+bit opened[2] = 0;           /* and has seen the caller go on with it */
+bit given[2] = 0;            /* an opening packet is on its way to it */
+bit passed[2] = 0;           /* data is on its way to it */
+bit accepted[2] = 0;         /* its acceptance is on its way to the caller */
+byte accepts_as[2] = NO_ACCEPTANCE;
+
+mtype record[2] = none;      /* what the process beside it knows */
+byte known_as[2] = NO_ACCEPTANCE;
+bit restarted[2] = 0;
 
-bit first = 0;             /* the first-ranked target */
-mtype ledger[2] = none;
-bit restarted = 0;         /* target 0 knows nothing of before */
-bit reachable = 1;         /* target 1 can ask target 0 */
-bit asked = 0;             /* target 0 answered that it has not started it */
+byte chosen = NO_ACCEPTANCE; /* the acceptance that the caller goes on with */
 byte runs = 0;
-bit told_not_run = 0;
-bit told_unknown = 0;
 
-inline check_promises() {
-  assert(runs <= 1);
-  assert(!(told_not_run && runs > 0))
+/* No connection may be reset while its back end holds it. */
+inline reset() {
+  assert(!(opened[0] && held[0] && chosen == ACCEPTANCE(0)));
+  assert(!(opened[1] && held[1] && chosen == ACCEPTANCE(1)))
 }
 
-/* A copy arrives at target 0: sent while that was first-ranked, or later by
- * an entry that knows no better. */
-active proctype target_0() {
+inline deliver(t) {
+  passed[t] = 1
+}
+
+proctype target(byte t) {
   do
+  /* The opening packet, or a copy, from some entry. */
   :: atomic {
-       ledger[0] == none ->
+       chosen == NO_ACCEPTANCE && (record[t] == none || record[t] == opening ||
+                                   record[t] == open) ->
        if
-#ifndef NO_restart_rule
-       :: restarted -> told_unknown = 1
-       :: !restarted -> ledger[0] = queued
-#else
-       :: ledger[0] = queued
-#endif
-       fi
-     }
-  :: atomic {
-       ledger[0] == queued -> ledger[0] = running; runs++; check_promises()
+       :: record[t] == none -> record[t] = opening
+       :: else -> skip
+       fi;
+       given[t] = 1
      }
-  :: atomic { ledger[0] == running -> ledger[0] = done }
+  /* Data of the caller, from some entry. */
   :: atomic {
-       ledger[0] == queued ->
-#ifndef NO_refusal
-       ledger[0] = refused;
+       chosen != NO_ACCEPTANCE ->
+       if
+       :: record[t] == none && restarted[t] -> record[t] = trial; deliver(t)
+       :: record[t] == trial -> deliver(t)
+#ifndef NO_early_rule
+       :: record[t] == opening && restarted[t] -> deliver(t)
+#else
+       :: record[t] == opening -> deliver(t)
+#endif
+#ifndef NO_own_rule
+       :: record[t] == open && known_as[t] == chosen -> deliver(t)
 #else
-       ledger[0] = none;
+       :: record[t] == open -> deliver(t)
 #endif
-       told_not_run = 1;
-       check_promises()
+       :: else -> skip
+       fi
      }
   od
 }
 
-active proctype target_1() {
+proctype back_end(byte t) {
   do
-  /* Asks the earlier target before it takes the request in. */
   :: atomic {
-       first == 1 && ledger[1] == none && !asked ->
+       given[t] ->
+       given[t] = 0;
        if
-       :: reachable && restarted -> told_unknown = 1
-       :: reachable && !restarted && ledger[0] == none ->
-#ifndef NO_promise
-          ledger[0] = promised;
-#endif
-          asked = 1
-       /* A refusal is told as it stands; anything else may have run. */
-       :: reachable && !restarted && ledger[0] == refused -> told_not_run = 1;
-          check_promises()
-       :: reachable && !restarted &&
-          (ledger[0] == running || ledger[0] == done ||
-           ledger[0] == queued) -> told_unknown = 1
-       :: !reachable ->
-#ifndef NO_asking_rule
-          told_unknown = 1
-#else
-          asked = 1
-#endif
-       :: else -> skip
+       :: opened[t] -> skip
+       :: !opened[t] ->
+          held[t] = 1;
+          accepts_as[t] = ACCEPTANCE(t);
+          accepted[t] = 1;
+          /* It passes the target. */
+          known_as[t] = ACCEPTANCE(t);
+          record[t] = open
        fi
      }
-  :: atomic { first == 1 && ledger[1] == none && asked -> ledger[1] = queued }
   :: atomic {
-       ledger[1] == queued -> ledger[1] = running; runs++; check_promises()
-     }
-  :: atomic { ledger[1] == running -> ledger[1] = done }
-  :: atomic {
-       ledger[1] == queued ->
-#ifndef NO_refusal
-       ledger[1] = refused;
+       passed[t] ->
+       passed[t] = 0;
+       if
+       :: held[t] && chosen == ACCEPTANCE(t) ->
+          if
+          :: !opened[t] -> opened[t] = 1; runs++; assert(runs <= 1)
+          :: opened[t] -> skip
+          fi;
+          /* What it answers passes the target. */
+          known_as[t] = ACCEPTANCE(t);
+          record[t] = open
+       :: else ->
+          /* Only a target that can't know passes on what is another's, or
+           * what its back end had in its life before. */
+          assert(restarted[t] || chosen / 2 == t);
+          if
+          :: record[t] == trial ->
+#ifdef NO_trial_rule
+             reset();
+#endif
+             record[t] = foreign
+#ifndef NO_return_rule
+          :: record[t] == open && known_as[t] == chosen ->
 #else
-       ledger[1] = none;
+          :: record[t] == open ->
 #endif
-       told_not_run = 1;
-       check_promises()
+             reset();
+             record[t] = none
+          :: else -> record[t] = foreign
+          fi
+       fi
      }
   od
 }
 
-active proctype change() {
-  first = 1
+/* The caller goes on with the first acceptance that reaches it. */
+active proctype caller() {
+  if
+  :: atomic { accepted[0] -> chosen = accepts_as[0] }
+  :: atomic { accepted[1] -> chosen = accepts_as[1] }
+  fi
+}
+
+active proctype back_end_restarts() {
+  if
+  :: atomic { held[0] = 0; opened[0] = 0; life[0] = 1 }
+  :: atomic { held[1] = 0; opened[1] = 0; life[1] = 1 }
+  :: skip
+  fi
 }
 
-active proctype cut() {
-  reachable = 0;
-  reachable = 1
+proctype target_restarts(byte t) {
+  atomic { record[t] = none; known_as[t] = NO_ACCEPTANCE; restarted[t] = 1 }
 }
 
-active proctype restart() {
-  atomic { ledger[0] = none; restarted = 1 }
+init {
+  atomic {
+    run target(0);
+    run target(1);
+    run back_end(0);
+    run back_end(1);
+    run target_restarts(0);
+    run target_restarts(1)
+  }
 }
