--- a/tests/soak/stories/promises_story.cpp
+++ b/tests/soak/stories/promises_story.cpp
@@ -232,6 +232,16 @@
     this->finds_nothing();
 }
 
+// Those of the time before don't count either.
+TEST(an_open_connection_of_the_soak, may_have_strayed_until_all_are_in_touch)
+{
+    this->book.disturb(target, disturbance::unplanned, this->opened - 2500ms);
+    this->stray();
+    this->finds_nothing();
+    this->book.strayed(this->ends, this->opened + 4200ms);
+    this->finds(promise::packets_find_their_own);
+}
+
 // ---- leaving ------------------------------------------------------------
 
 namespace {
@@ -482,6 +492,20 @@
     UNSIGNED_LONGS_EQUAL(0, this->crowd.open());
 }
 
+// A copy of its opening packet may be refused somewhere after it has opened.
+TEST(a_caller_and_a_back_end, take_no_notice_of_a_reset_of_something_else)
+{
+    soak_packets const opening = this->crowd.begin(this->now);
+    this->exchange(opening);
+    soak_packet reset{.ends = opening.front().ends,
+                      .by_caller = false,
+                      .resets = true,
+                      .is_genuine = false};
+    this->crowd.take(reset, entry, this->now);
+    this->finds_nothing();
+    UNSIGNED_LONGS_EQUAL(1, this->crowd.open());
+}
+
 TEST(a_caller_and_a_back_end, give_back_what_belongs_to_nobody_here)
 {
     soak_packet const lost{.ends = this->number(9), .data = "x"};
