--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -417,12 +417,12 @@
     exchange_id const id{++this->last_exchange};
     lws_set_opaque_user_data(wsi, reinterpret_cast<void*>(id.value));
     bool const posted = lws_hdr_total_length(wsi, WSI_TOKEN_POST_URI) > 0;
-    http_request const request{posted ? "POST" : "GET",
-                               std::string{path},
-                               detail::query_text(wsi),
-                               {},
-                               *static_cast<peer_address*>(
-                                   lws_vhost_user(lws_get_vhost(wsi)))};
+    http_request const request{
+        posted ? "POST" : "GET",
+        std::string{path},
+        detail::query_text(wsi),
+        {},
+        *static_cast<peer_address*>(lws_vhost_user(lws_get_vhost(wsi)))};
     this->requests[id] = server_exchange{request, wsi, {}, false, 0};
     if (!posted)
         this->program.on_http_request(id, request);
--- a/src/programs/connection_target_program.ipp
+++ b/src/programs/connection_target_program.ipp
@@ -197,8 +197,8 @@
         this->feed(connection_target_event{
             packet_returned{std::move(packet->packet)}});
     else
-        this->feed(connection_target_event{packet_from_back_end{
-            std::move(packet->packet), packet->report}});
+        this->feed(connection_target_event{
+            packet_from_back_end{std::move(packet->packet), packet->report}});
 }
 
 template <packet_format Format>
