--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -170,33 +170,17 @@
     {
         time_point const now = read_clock();
         this->note_stall(now);
-        while (!this->work.empty() && this->work.top().at <= now) {
-            std::function<void()> const what = this->work.top().what;
-            this->work.pop();
-            what();
-        }
+        this->do_due_work(now);
         for (ended_child const& one : this->children.reap())
             this->take_ended(one);
-        double const rate = std::min(
-            most_requests,
-            requests_per_target * static_cast<double>(this->plan.targets));
-        while (this->next_request <= now) {
-            this->send_in(this->crowd.begin(now));
-            double const unit =
-                std::uniform_real_distribution<double>{0, 1}(this->random);
-            this->next_request += duration{
-                static_cast<std::int64_t>(-std::log(1 - unit) / rate * 1e6)};
-        }
+        this->begin_requests(now);
         this->send_in(this->crowd.tick(now));
         for (auto& [machine, node] : this->back_ends)
             if (node.back_end)
                 this->send_outbound(machine, node.back_end->tick(now));
         if (now >= this->next_probe)
             this->probe_entries();
-        std::map<exchange_id, waiting_call> const calls = this->waiting;
-        for (auto const& [exchange, call] : calls)
-            if (this->serve(exchange, call))
-                this->waiting.erase(exchange);
+        this->serve_waiting();
     }
 
     void on_datagram(lane by, peer_address from, std::string_view bytes)
@@ -313,6 +297,30 @@
             {read_clock() + delay, ++this->last_order, std::move(what)});
     }
 
+    void do_due_work(time_point now)
+    {
+        while (!this->work.empty() && this->work.top().at <= now) {
+            std::function<void()> const what = this->work.top().what;
+            this->work.pop();
+            what();
+        }
+    }
+
+    // Arrivals at random, as many a second as the targets are many.
+    void begin_requests(time_point now)
+    {
+        double const rate = std::min(
+            most_requests,
+            requests_per_target * static_cast<double>(this->plan.targets));
+        while (this->next_request <= now) {
+            this->send_in(this->crowd.begin(now));
+            double const unit =
+                std::uniform_real_distribution<double>{0, 1}(this->random);
+            this->next_request += duration{
+                static_cast<std::int64_t>(-std::log(1 - unit) / rate * 1e6)};
+        }
+    }
+
     // Entries and targets have stood still, too, or have had nobody to talk to.
     void note_stall(time_point now)
     {
@@ -784,6 +792,14 @@
 
     // -- the store, and probes
 
+    void serve_waiting()
+    {
+        std::map<exchange_id, waiting_call> const calls = this->waiting;
+        for (auto const& [exchange, call] : calls)
+            if (this->serve(exchange, call))
+                this->waiting.erase(exchange);
+    }
+
     bool serve(exchange_id exchange, waiting_call const& call)
     {
         call_outcome const outcome = this->store.answer(
