Read others' JSON in one guarded place

Cause: what other writers put in the store, and log lines of the burn report, were parsed by two copies of one function, neither of which kept the parser's exception for texts that go too deep. An entry of the store with 2,000 brackets would have ended every entry process, again and again; found in this reading. Change: parse_json_object beside the checker, over the same guarded call; both copies go. compact_json stands once for four copies of writing on one line. A connection that is no text in a log line is passed over. Ruled out: the checker's own parse and the RPC's, which were guarded.

--- a/src/documents/checked_json.cpp
+++ b/src/documents/checked_json.cpp
@@ -17,14 +17,26 @@
 {
     if (value == nullptr)
         return "nothing";
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    std::string text = Json::writeString(builder, *value);
+    std::string text = compact_json(*value);
     if (text.size() > longest_shown)
         text = text.substr(0, longest_shown) + "...";
     return text;
 }
 
+// The parser throws at texts that go too deep.
+bool read_json(Json::CharReaderBuilder const& builder, std::string_view text,
+               Json::Value& value, std::string& errors)
+{
+    std::unique_ptr<Json::CharReader> const reader{builder.newCharReader()};
+    try {
+        return reader->parse(text.data(), text.data() + text.size(), &value,
+                             &errors);
+    } catch (Json::Exception const& error) {
+        errors = error.what();
+        return false;
+    }
+}
+
 }  // namespace
 
 // ---- json_problem -------------------------------------------------------
@@ -49,17 +61,9 @@
     builder["strictRoot"] = true;
     builder["failIfExtra"] = true;
     builder["stackLimit"] = 32;
-    std::unique_ptr<Json::CharReader> const reader{builder.newCharReader()};
     Json::Value root;
     std::string errors;
-    bool parsed = false;
-    try {
-        parsed = reader->parse(text.data(), text.data() + text.size(), &root,
-                               &errors);
-    } catch (Json::Exception const& error) {
-        errors = error.what();
-    }
-    if (parsed)
+    if (read_json(builder, text, root, errors))
         return root;
     std::replace(errors.begin(), errors.end(), '\n', ' ');
     this->found.push_back({this->file, "", errors, "JSON with comments"});
@@ -226,6 +230,22 @@
 
 // ---- texts --------------------------------------------------------------
 
+std::optional<Json::Value> parse_json_object(std::string_view text)
+{
+    Json::CharReaderBuilder const builder;
+    Json::Value value;
+    std::string errors;
+    bool const good = read_json(builder, text, value, errors);
+    return good && value.isObject() ? std::optional{value} : std::nullopt;
+}
+
+std::string compact_json(Json::Value const& value)
+{
+    Json::StreamWriterBuilder builder;
+    builder["indentation"] = "";
+    return Json::writeString(builder, value);
+}
+
 std::optional<peer_address> parse_address(std::string const& text)
 {
     std::size_t const colon = text.find(':');
--- a/src/documents/checked_json.hpp
+++ b/src/documents/checked_json.hpp
@@ -5,6 +5,7 @@
 //   json_problem   one fault
 //   json_place     a value and where it stands
 //   json_checker   reads and collects faults
+//   plain JSON     of others, read without a word about what is wrong
 #pragma once
 
 #include "base/values.hpp"
@@ -111,6 +112,14 @@
     return value;
 }
 
+// ---- plain JSON ---------------------------------------------------------
+
+// An object, or nothing; whatever the text is, nothing is thrown.
+std::optional<Json::Value> parse_json_object(std::string_view text);
+
+// On one line, without spaces.
+std::string compact_json(Json::Value const& value);
+
 // Parses "127.0.0.1:9000".
 std::optional<peer_address> parse_address(std::string const& text);
 
--- a/src/documents/documents.cpp
+++ b/src/documents/documents.cpp
@@ -36,13 +36,6 @@
 
 // ---- writing ------------------------------------------------------------
 
-std::string render(Json::Value const& value)
-{
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
-}
-
 Json::Value number_of(generation value)
 {
     return Json::Value::UInt64{value.value};
@@ -410,24 +403,24 @@
     Json::Value value = json_of(head.version);
     value["reaches_back"] = number_of(head.reaches_back);
     value["recent"] = json_of(head.recent);
-    return render(value);
+    return compact_json(value);
 }
 
 std::string write_document(platform_index const& index)
 {
     Json::Value value = json_of(index.version);
     value["parts"] = json_of(index.parts);
-    return render(value);
+    return compact_json(value);
 }
 
 std::string write_document(fleet_part const& part)
 {
-    return render(json_of(part));
+    return compact_json(json_of(part));
 }
 
 std::string write_document(service_part const& part)
 {
-    return render(json_of(part));
+    return compact_json(json_of(part));
 }
 
 std::string write_document(catalog_change const& change)
@@ -448,7 +441,7 @@
         value["deltas"] = json_of(change.deltas);
     if (change.route_delta)
         value["route_delta"] = json_of(*change.route_delta);
-    return render(value);
+    return compact_json(value);
 }
 
 // ---- parsing ------------------------------------------------------------
--- a/src/report/burn.cpp
+++ b/src/report/burn.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cstdio>
-#include <memory>
 
 namespace lagoon {
 
@@ -37,15 +36,15 @@
 
 std::optional<Json::Value> parse_line(std::string const& line)
 {
-    Json::CharReaderBuilder const builder;
-    std::unique_ptr<Json::CharReader> const reader{builder.newCharReader()};
-    Json::Value value;
-    bool const good =
-        reader->parse(line.data(), line.data() + line.size(), &value, nullptr);
-    return good && value.isObject() && value["event"].isString() &&
-                   value["time"].isNumeric()
-               ? std::optional{value}
-               : std::nullopt;
+    std::optional<Json::Value> value = parse_json_object(line);
+    bool const is_line =
+        value && (*value)["event"].isString() && (*value)["time"].isNumeric();
+    return is_line ? value : std::nullopt;
+}
+
+std::string text_of(Json::Value const& value)
+{
+    return value.isString() ? value.asString() : std::string{};
 }
 
 duration milliseconds_of(Json::Value const& value)
@@ -85,7 +84,7 @@
     std::string const event = (*parsed)["event"].asString();
     if (event == "log_budget" && (*parsed)["left_out"].isUInt64())
         this->lines_left_out += (*parsed)["left_out"].asUInt64();
-    std::string const connection = (*parsed)["connection"].asString();
+    std::string const connection = text_of((*parsed)["connection"]);
     std::size_t const dash = connection.find('-');
     std::optional<peer_address> const route =
         dash == std::string::npos ? std::nullopt
--- a/src/telemetry/status.cpp
+++ b/src/telemetry/status.cpp
@@ -152,9 +152,7 @@
     value["failures"] = Json::Value{Json::arrayValue};
     for (failure_count const& one : status.failures)
         value["failures"].append(json_of(one));
-    Json::StreamWriterBuilder builder;
-    builder["indentation"] = "";
-    return Json::writeString(builder, value);
+    return compact_json(value);
 }
 
 std::optional<process_status> parse_status(json_checker& checker,
--- a/tests/stories/burn_story.cpp
+++ b/tests/stories/burn_story.cpp
@@ -57,7 +57,14 @@
     CHECK(!this->reader.read("no JSON"));
     CHECK(!this->reader.read("[]"));
     CHECK(!this->reader.read(R"({"event":"answered"})"));
-    UNSIGNED_LONGS_EQUAL(3, this->reader.unreadable());
+    CHECK(!this->reader.read(R"({"time":1,"event":)" + std::string(2000, '[')));
+    UNSIGNED_LONGS_EQUAL(4, this->reader.unreadable());
+}
+
+TEST(a_line_of_a_log, is_of_no_connection_when_that_is_no_text)
+{
+    CHECK(!this->reader.read(
+        R"({"time":1,"event":"answered","connection":["a-b"]})"));
 }
 
 TEST(a_line_of_a_log, says_how_many_others_are_missing)
