The soak's requests have their form with the platform's tests; callers are callers

Change: stand_in_requests.hpp writes and reads a request; the judge, the plans and what is sent are as they were.

--- a/tests/soak/back_ends.hpp
+++ b/tests/soak/back_ends.hpp
@@ -9,7 +9,6 @@
 #include "callers.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -33,21 +32,6 @@
     auto operator<=>(back_end_settings const&) const = default;
 };
 
-namespace detail {
-
-// The text after a mark and up to another one.
-inline std::string part_of(std::string const& text, std::string const& from,
-                           std::string const& upto)
-{
-    std::size_t const begin = text.find(from);
-    if (begin == std::string::npos)
-        return {};
-    std::size_t const at = begin + from.size();
-    return text.substr(at, text.find(upto, at) - at);
-}
-
-}  // namespace detail
-
 // ---- soak_back_end ------------------------------------------------------
 
 class soak_back_end
@@ -256,22 +240,18 @@
 
     void take_request(connection& on, time_point now, soak_packets& out)
     {
-        std::size_t const size = on.in.find("\r\n\r\n");
-        if (size == std::string::npos)
+        std::optional<platform::stand_in_request> const asked =
+            platform::parse(on.in);
+        if (!asked)
             return;
-        std::string const text = on.in.substr(0, size + 2);
         on.in.clear();
-        std::optional<request_key> const key =
-            parse_request_key(detail::part_of(text, "X-Request-Id: ", "\r\n"));
-        std::string const wanted = detail::part_of(text, " /", " ");
-        std::size_t answer_size = 0;
-        std::from_chars(wanted.data(), wanted.data() + wanted.size(),
-                        answer_size);
+        std::optional<request_key> const key = parse_request_key(asked->id);
         if (!key) {
             this->book.altered(on.ends, now);
             return;
         }
-        request const what{on.ends, *key, text.starts_with("GET"), answer_size};
+        request const what{on.ends, *key, asked->may_repeat,
+                           asked->answer_size};
         if (this->running.size() < this->settings.slots)
             this->begin(what, now);
         else if (this->waiting.size() < this->settings.queue)
--- a/tests/soak/callers.hpp
+++ b/tests/soak/callers.hpp
@@ -1,4 +1,4 @@
-// The requesters of the soak: they open connections, send requests, repeat
+// The callers of the soak: they open connections, send requests, repeat
 // what is lost, try again where that is allowed, and note what becomes of it.
 //
 // Index
@@ -10,6 +10,7 @@
 #include "base/random.hpp"
 #include "packet.hpp"
 #include "promises.hpp"
+#include "stand_in_requests.hpp"
 
 #include <algorithm>
 #include <map>
@@ -52,14 +53,6 @@
     return to_text(key) + std::string{refused};
 }
 
-inline std::string request_text(request_key const& key, std::size_t answer_size,
-                                bool may_repeat)
-{
-    return std::string{may_repeat ? "GET" : "POST"} + " /" +
-           std::to_string(answer_size) +
-           " HTTP/1.1\r\nX-Request-Id: " + to_text(key) + "\r\n\r\n";
-}
-
 // ---- caller_crowd -------------------------------------------------------
 
 class caller_crowd
@@ -83,7 +76,7 @@
         return this->begin_attempt({++this->last_wish, route, now, 0}, now);
     }
 
-    // A packet for a requester; `by` is the machine that it came from.
+    // A packet for a caller; `by` is the machine that it came from.
     soak_packets take(soak_packet const& packet, std::size_t by, time_point now)
     {
         auto const found = this->connections.find(packet.ends);
@@ -249,8 +242,8 @@
         soak_route const& route = this->routes[on.asked.route];
         on.at = stage::asking;
         on.got.clear();
-        on.unanswered = request_text(this->key_of(on.asked), route.answer_size,
-                                     route.may_repeat);
+        on.unanswered = platform::write({to_text(this->key_of(on.asked)),
+                                         route.answer_size, route.may_repeat});
         on.interval = first_copy;
         on.due = now + on.interval;
         out.push_back(this->packet_of(on));
--- a/tests/soak/packet.hpp
+++ b/tests/soak/packet.hpp
@@ -1,4 +1,4 @@
-// Packets as requesters and back ends of the soak see them. How they look is
+// Packets as callers and back ends of the soak see them. How they look is
 // the business of the platform's test folder.
 //
 // Index
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -1,5 +1,5 @@
 // One run of the soak: real entries and targets as processes on loopback;
-// requesters, back ends, routers, the store and a proxy in this one, on one
+// callers, back ends, routers, the store and a proxy in this one, on one
 // loop. Faults come as planned, and promises are judged all the while.
 //
 // Index
