Wait for a target as long as its answers take

Cause: an entry waited 20 ms for the answer of a target, whatever the target's answers had taken before, and ignored answers that came later.

A late answer about an open connection counts while its search goes on.

--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -1,7 +1,7 @@
 // Finds a target for a packet whose owner is not cached: a target with a free
 // slot for an opening packet, the owner of the connection for any other packet.
-// Targets are queried one after the other. A query times out after a few
-// milliseconds, long before the caller retransmits its packet.
+// Targets are queried one after the other. A query times out after a wait that
+// follows the target's answer times, before the caller retransmits its packet.
 //
 // Index
 //   placement_request   a packet and its candidates
@@ -10,6 +10,7 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
+#include "placement/answer_times.hpp"
 #include "placement/policies.hpp"
 #include "protocol/relay.hpp"
 
@@ -17,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -108,9 +110,11 @@
     // be lost at once: trials are limited to twice the preferred targets.
     std::uint32_t max_trials = 2 * default_preferred_count;
 
-    // Several times the round trip between two data centres, and well below the
-    // 200 ms after which callers retransmit.
-    duration answer_timeout = std::chrono::milliseconds{20};
+    answer_wait_limits answer_wait = {};
+
+    // How long a query is remembered after it timed out. An answer that arrives
+    // within this time still tells who owns a connection.
+    duration late_answer_lifetime = std::chrono::seconds{1};
 
     auto operator<=>(placer_limits const&) const = default;
 };
@@ -180,6 +184,16 @@
         auto operator<=>(query_choice const&) const = default;
     };
 
+    struct sent_query
+    {
+        connection_endpoints endpoints = {};
+        peer_address target = {};
+        std::size_t index = 0;  // of the candidate
+        bool is_last_resort = false;
+        time_point sent_at = {};
+        auto operator<=>(sent_query const&) const = default;
+    };
+
     struct query_deadline
     {
         time_point at = {};
@@ -191,6 +205,9 @@
     placement_outcome handle_answer(placement_state& record,
                                     offer_reply const& answer,
                                     target_hints& hints, time_point now);
+    placement_outcomes handle_late_answer(placement_state& record,
+                                          sent_query const& query,
+                                          offer_reply const& answer);
     placement_outcome query_next(placement_state& record, time_point now);
     std::optional<query_choice>
     choose_next(placement_state const& record) const;
@@ -211,11 +228,13 @@
     placement_outcome make_failed(placement_state const& record,
                                   bool is_refused);
     placement_outcome make_found(placement_state const& record,
-                                 offer_reply const& answer);
+                                 peer_address owner, offer_reply const& answer);
     void update_hints(offer_reply const& answer, peer_address target,
                       target_hints& hints, time_point now) const;
     bool is_current(query_deadline const& deadline) const;
-    void drop_stale_deadlines();
+    query_deadline take_first_deadline(time_point now);
+    void drop_stale_deadlines(time_point now);
+    void forget_late_queries(time_point now);
 
     placer_limits limits;
     P policy;
@@ -223,8 +242,10 @@
     std::unordered_map<connection_endpoints, placement_state,
                        detail::endpoints_hash>
         placements = {};
-    std::unordered_map<std::uint32_t, connection_endpoints> queries = {};
-    std::deque<query_deadline> deadlines = {};
+    answer_times times;
+    std::unordered_map<std::uint32_t, sent_query> queries = {};
+    std::set<query_deadline> deadlines = {};       // earliest first
+    std::deque<query_deadline> late_queries = {};  // when to forget them
 };
 
 }  // namespace lagoon
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -19,7 +19,7 @@
 
 template <placement_policy P>
 placer<P>::placer(placer_limits limits, P policy)
-    : limits(limits), policy(policy)
+    : limits(limits), policy(policy), times(limits.answer_wait)
 {
 }
 
@@ -220,9 +220,12 @@
     // The id 0 stands for no query; skip it when the counter wraps.
     if (this->last_query_id == 0)
         record.query = {++this->last_query_id};
-    this->queries[record.query.value] = request.packet.endpoints;
-    this->deadlines.push_back({now + this->limits.answer_timeout, record.query,
-                               request.packet.endpoints});
+    this->queries[record.query.value] = {request.packet.endpoints,
+                                         candidate.target.address, index,
+                                         is_last_resort, now};
+    this->deadlines.insert(
+        {now + this->times.wait_for(candidate.target.address), record.query,
+         request.packet.endpoints});
     std::optional<request_attributes> attributes;
     if (request.packet.is_opening) {
         attributes = request.attributes;
@@ -250,11 +253,12 @@
 
 template <placement_policy P>
 placement_outcome placer<P>::make_found(placement_state const& record,
+                                        peer_address owner,
                                         offer_reply const& answer)
 {
     return owner_found{record.request.packet,
                        record.request.service,
-                       record.candidates[record.current].target.address,
+                       owner,
                        answer.verdict,
                        answer.load,
                        record.query_count,
@@ -282,32 +286,64 @@
 placement_outcomes placer<P>::on_answer(offer_reply const& answer,
                                         target_hints& hints, time_point now)
 {
-    auto const query = this->queries.find(answer.query.value);
-    if (query == this->queries.end())
+    auto const sent = this->queries.find(answer.query.value);
+    if (sent == this->queries.end())
         return {};
-    auto const found = this->placements.find(query->second);
-    this->queries.erase(query);
-    // Ignores a late answer: another target has been queried since.
-    if (found == this->placements.end() || found->second.query != answer.query)
+    sent_query const query = sent->second;
+    this->queries.erase(sent);
+    this->times.record(query.target, now - query.sent_at, now);
+    auto const found = this->placements.find(query.endpoints);
+    this->update_hints(answer, query.target, hints, now);
+    if (found == this->placements.end())
         return {};
-    placement_outcomes const outcomes{
-        this->handle_answer(found->second, answer, hints, now)};
-    this->drop_stale_deadlines();
+    placement_outcomes outcomes;
+    if (found->second.query != answer.query)
+        outcomes = this->handle_late_answer(found->second, query, answer);
+    else
+        outcomes.push_back(
+            this->handle_answer(found->second, answer, hints, now));
+    this->drop_stale_deadlines(now);
     return outcomes;
 }
 
+// Another target has been queried since. What a target says about an open
+// connection holds nevertheless; an opening packet goes to the one queried now.
+template <placement_policy P>
+placement_outcomes placer<P>::handle_late_answer(placement_state& record,
+                                                 sent_query const& query,
+                                                 offer_reply const& answer)
+{
+    bool const is_same_search =
+        !record.request.packet.is_opening &&
+        query.index < record.candidates.size() &&
+        record.candidates[query.index].target.address == query.target;
+    if (!is_same_search)
+        return {};
+    record.timeout_count -= std::min(record.timeout_count, 1U);
+    if (detail::is_owner_verdict(answer.verdict)) {
+        placement_outcomes const outcomes{
+            this->make_found(record, query.target, answer)};
+        this->placements.erase(query.endpoints);
+        return outcomes;
+    }
+    if (answer.verdict == offer_verdict::not_owner && !query.is_last_resort)
+        record.progress.has_definite_denial = true;
+    if (answer.verdict == offer_verdict::unsure && !query.is_last_resort)
+        record.candidates[query.index].state = candidate_state::busy;
+    return {};
+}
+
 template <placement_policy P>
 placement_outcome placer<P>::handle_answer(placement_state& record,
                                            offer_reply const& answer,
                                            target_hints& hints, time_point now)
 {
     candidate_record& candidate = record.candidates[record.current];
-    this->update_hints(answer, candidate.target.address, hints, now);
     if (detail::is_owner_verdict(answer.verdict)) {
         if (record.request.packet.is_opening)
             hints.record_placement(candidate.target.address);
         placement_outcome const found_outcome =
-            this->make_found(record, answer);
+            this->make_found(record, candidate.target.address, answer);
         this->placements.erase(record.request.packet.endpoints);
         return found_outcome;
     }
@@ -336,13 +372,36 @@
            found->second.query == deadline.query;
 }
 
-// Removes the deadlines of answered queries, which need no tick.
-template <placement_policy P> void placer<P>::drop_stale_deadlines()
+// Removes the deadlines of queries whose answer is not waited for any more.
+// These need no tick.
+template <placement_policy P>
+void placer<P>::drop_stale_deadlines(time_point now)
 {
     while (!this->deadlines.empty() &&
-           !this->is_current(this->deadlines.front())) {
-        this->queries.erase(this->deadlines.front().query.value);
-        this->deadlines.pop_front();
+           !this->is_current(*this->deadlines.begin()))
+        this->take_first_deadline(now);
+}
+
+// Keeps an unanswered query for its late answer.
+template <placement_policy P>
+typename placer<P>::query_deadline
+placer<P>::take_first_deadline(time_point now)
+{
+    query_deadline const first = *this->deadlines.begin();
+    this->deadlines.erase(this->deadlines.begin());
+    if (this->queries.contains(first.query.value))
+        this->late_queries.push_back({now + this->limits.late_answer_lifetime,
+                                      first.query, first.endpoints});
+    return first;
+}
+
+template <placement_policy P>
+void placer<P>::forget_late_queries(time_point now)
+{
+    while (!this->late_queries.empty() &&
+           this->late_queries.front().at <= now) {
+        this->queries.erase(this->late_queries.front().query.value);
+        this->late_queries.pop_front();
     }
 }
 
@@ -350,10 +409,8 @@
 placement_outcomes placer<P>::tick(target_hints& hints, time_point now)
 {
     placement_outcomes outcomes;
-    while (!this->deadlines.empty() && this->deadlines.front().at <= now) {
-        query_deadline const expired = this->deadlines.front();
-        this->deadlines.pop_front();
-        this->queries.erase(expired.query.value);
+    while (!this->deadlines.empty() && this->deadlines.begin()->at <= now) {
+        query_deadline const expired = this->take_first_deadline(now);
         if (!this->is_current(expired))
             continue;
         placement_state& record = this->placements.at(expired.endpoints);
@@ -362,6 +419,8 @@
                              now);
         outcomes.push_back(this->query_next(record, now));
     }
+    this->forget_late_queries(now);
+    this->times.sweep(now);
     return outcomes;
 }
 
@@ -370,7 +429,7 @@
 {
     if (this->deadlines.empty())
         return std::nullopt;
-    return this->deadlines.front().at;
+    return this->deadlines.begin()->at;
 }
 
 template <placement_policy P> std::size_t placer<P>::size() const
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -1,9 +1,13 @@
+#include "placement/answer_times.hpp"
 #include "placement/owner_table.hpp"
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
 #include "placement/target_directory.hpp"
 #include "story.hpp"
 
+#include <map>
+#include <set>
+
 using namespace lagoon;
 using namespace std::chrono_literals;
 
@@ -673,3 +677,177 @@
     this->answer(offer_verdict::not_owner);
     CHECK(this->find_queried_target() == second);
 }
+
+namespace {
+
+// ---- answer times -------------------------------------------------------
+
+struct measured_answer_times : Utest
+{
+    time_point now{100s};
+    answer_wait_limits limits = {};
+    answer_times times{this->limits};
+
+    void record_answers(peer_address target, duration took, int count)
+    {
+        for (int i = 0; i < count; ++i)
+            this->times.record(target, took, this->now);
+    }
+};
+
+}  // namespace
+
+SECTION(waiting_for_answers, measured_answer_times){};
+
+TEST(waiting_for_answers, takes_the_minimum_before_anything_is_measured)
+{
+    CHECK(this->times.wait_for(first) == this->limits.min_wait);
+}
+
+TEST(waiting_for_answers, takes_the_minimum_for_a_fast_target)
+{
+    this->record_answers(first, 2ms, 20);
+    CHECK(this->times.wait_for(first) == this->limits.min_wait);
+}
+
+TEST(waiting_for_answers, exceeds_the_answer_time_of_a_slow_target)
+{
+    this->record_answers(first, 60ms, 1);
+    CHECK(this->times.wait_for(first) > 60ms);
+    this->record_answers(first, 60ms, 40);
+    CHECK(this->times.wait_for(first) >= 60ms);
+}
+
+TEST(waiting_for_answers, never_exceeds_the_maximum)
+{
+    this->record_answers(first, 3s, 10);
+    CHECK(this->times.wait_for(first) == this->limits.max_wait);
+}
+
+TEST(waiting_for_answers, expects_an_unknown_target_to_be_like_the_others)
+{
+    this->record_answers(first, 60ms, 1);
+    CHECK(this->times.wait_for(second) == this->times.wait_for(first));
+}
+
+TEST(waiting_for_answers, shortens_again_after_the_targets_have_recovered)
+{
+    this->record_answers(first, 100ms, 10);
+    this->record_answers(first, 2ms, 60);
+    CHECK(this->times.wait_for(first) == this->limits.min_wait);
+}
+
+TEST(waiting_for_answers, forgets_a_target_that_no_longer_answers)
+{
+    this->record_answers(first, 100ms, 10);
+    this->record_answers(second, 2ms, 60);
+    this->now += this->limits.lifetime + 1s;
+    this->times.sweep(this->now);
+    CHECK(this->times.wait_for(first) == this->limits.min_wait);
+}
+
+namespace {
+
+// ---- slow targets -------------------------------------------------------
+
+constexpr std::uint32_t slow_target_count = 200;
+
+// Load pattern: on a saturated machine 200 targets answer after 30 ms each
+// (soak-limits, seed 900: 50 of 56 queried targets were taken for dead).
+struct a_placer_with_slow_targets : a_placer
+{
+    duration answer_time = 30ms;
+    peer_address owner{0x0A020000 + slow_target_count, 8000};
+    std::set<peer_address> dead = {};
+    std::size_t query_count = 0;
+    std::size_t timeout_count = 0;  // after the first answer
+    bool has_answer = false;
+    std::map<time_point, offer_reply> answers = {};  // by time of arrival
+    placement_outcomes ended = {};
+
+    void setup() override
+    {
+        this->start_search_among(slow_target_count);
+    }
+
+    void handle(placement_outcomes const& next)
+    {
+        for (placement_outcome const& one : next) {
+            auto const* query = std::get_if<query_target>(&one);
+            if (query == nullptr) {
+                this->ended.push_back(one);
+                continue;
+            }
+            ++this->query_count;
+            if (!this->dead.contains(query->target))
+                this->answers[this->now + this->answer_time] = {
+                    query->offer.query,
+                    query->target == this->owner ? offer_verdict::taken
+                                                 : offer_verdict::not_owner,
+                    0,
+                    2,
+                    {}};
+        }
+    }
+
+    // Advances to the next answer or timeout until the search has ended.
+    void run_search()
+    {
+        this->handle(this->outcomes);
+        while (this->ended.empty()) {
+            time_point const due = *this->placements.next_due();
+            bool const is_answer =
+                !this->answers.empty() && this->answers.begin()->first <= due;
+            this->now = is_answer ? this->answers.begin()->first : due;
+            if (is_answer) {
+                offer_reply const answer = this->answers.begin()->second;
+                this->answers.erase(this->answers.begin());
+                this->has_answer = true;
+                this->handle(
+                    this->placements.on_answer(answer, this->hints, this->now));
+            } else {
+                this->timeout_count += this->has_answer;
+                this->handle(this->placements.tick(this->hints, this->now));
+            }
+        }
+    }
+
+    owner_found const* find_owner() const
+    {
+        return std::get_if<owner_found>(&this->ended.front());
+    }
+};
+
+}  // namespace
+
+SECTION(searching_among_slow_targets, a_placer_with_slow_targets){};
+
+TEST(searching_among_slow_targets, gives_up_none_after_the_first_answers)
+{
+    this->run_search();
+    CHECK(this->find_owner() != nullptr &&
+          this->find_owner()->target == this->owner);
+    // One query was sent before the first answer and is timed by the minimum.
+    CHECK(this->timeout_count <= 1);
+    UNSIGNED_LONGS_EQUAL(0, this->find_owner()->timeout_count);
+    UNSIGNED_LONGS_EQUAL(slow_target_count, this->query_count);
+}
+
+TEST(searching_among_slow_targets, uses_the_late_answer_of_the_owner)
+{
+    this->owner = first;
+    this->run_search();
+    CHECK(this->find_owner() != nullptr && this->find_owner()->target == first);
+    CHECK(this->query_count <= 2);
+}
+
+TEST(searching_among_slow_targets,
+     passes_over_a_dead_one_before_callers_retransmit)
+{
+    this->dead = {third};
+    this->run_search();
+    CHECK(this->find_owner() != nullptr);
+    UNSIGNED_LONGS_EQUAL(1, this->find_owner()->timeout_count);
+    CHECK(this->now - time_point{100s} <
+          (slow_target_count - 1) * this->answer_time + 200ms);
+}
