Limit what searches for lost connections may cost

Cause: after a power loss callers send the packets of connections that no target holds any more.

Change: a search stops at three silent targets, and beyond eight queries it draws on a budget that grows with the packets the entry delivers. It goes on with the caller's next retransmission, at the targets not asked yet.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -226,6 +226,8 @@
                            search_record const& search, time_point now);
     void record_lost_owner(effects_type& effects, placement_note const& note,
                            time_point now);
+    void suspend_search(effects_type& effects, placement_failed const& failed,
+                        placement_note const& note, time_point now);
     void start_placement(effects_type& effects,
                          placement_request const& request, time_point now);
     void hold(effects_type& effects, connection_packet const& packet,
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -176,9 +176,12 @@
                     std::nullopt, now);
     else if (owner && owner->is_confirmed)
         this->forward(effects, *owner, packet, now);
-    else if (this->searches.has_failed(packet.endpoints, now))
+    else if (this->searches.is_blocked(packet.endpoints, now))
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
+    else if (std::optional<search_record> const suspended =
+                 this->searches.take_suspended(packet.endpoints, now))
+        this->search_candidates(effects, packet, *suspended, now);
     else
         this->search(effects, packet,
                      owner ? std::optional{owner->target} : std::nullopt,
@@ -196,6 +199,7 @@
     next.is_finished =
         owner.is_finished || packet.is_finishing || packet.is_reset;
     this->owners.put(packet.endpoints, next);
+    this->connection_placer.record_delivery();
     effects.push_back(send_offer{
         owner.target, {{}, owner.service, 0, false, {}, packet.bytes}});
 }
@@ -407,7 +411,7 @@
                                            time_point now)
 {
     std::optional<search_record> const previous =
-        this->searches.take(packet.endpoints, now);
+        this->searches.take_found(packet.endpoints, now);
     if (!previous)
         this->search(effects, packet, std::nullopt, returned_by, now);
     else if (previous->remaining.empty())
@@ -424,7 +428,22 @@
                                                placement_note const& note,
                                                time_point now)
 {
-    this->searches.put_failure(note.endpoints, now);
+    this->searches.put(note.endpoints,
+                       {.state = search_state::failed, .updated_at = now});
+    effects.push_back(note);
+}
+
+// The search goes on when the caller sends again, with the targets that were
+// not queried yet or, without any, from the start.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::suspend_search(effects_type& effects,
+                                            placement_failed const& failed,
+                                            placement_note const& note,
+                                            time_point now)
+{
+    this->searches.put(failed.packet.endpoints,
+                       {search_state::suspended, failed.service,
+                        failed.remaining, failed.progress, now});
     effects.push_back(note);
 }
 
@@ -511,9 +530,9 @@
             status_change_note{status_change::table_full, {}, {}});
     this->is_owner_table_full = !has_room;
     if (!is_opening)
-        this->searches.put_progress(
-            found.packet.endpoints,
-            {false, found.service, found.remaining, found.progress, now});
+        this->searches.put(found.packet.endpoints,
+                           {search_state::found, found.service, found.remaining,
+                            found.progress, now});
     placement_note note = this->make_note(
         is_opening ? placement_result::placed : placement_result::owner_found,
         found.packet.endpoints, found.arrived_at, now);
@@ -546,12 +565,14 @@
                         failed.arrived_at, now);
     note.query_count = failed.query_count;
     note.timeout_count = failed.timeout_count;
-    // A target that did not answer may be the owner.
-    if (failed.timeout_count == 0)
+    // A target that was not queried or did not answer may be the owner.
+    bool const is_definite =
+        failed.remaining.empty() && failed.progress.silent_count == 0;
+    if (is_definite)
         this->search_next_service(effects, failed.packet, failed.service, note,
                                   now);
     else
-        effects.push_back(note);
+        this->suspend_search(effects, failed, note, now);
 }
 
 // Resets the connection at once, so that the caller need not wait for a
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -12,6 +12,7 @@
 #include "catalog/catalog.hpp"
 #include "placement/answer_times.hpp"
 #include "placement/policies.hpp"
+#include "placement/search_budget.hpp"
 #include "protocol/relay.hpp"
 
 #include <algorithm>
@@ -32,6 +33,7 @@
 {
     std::uint32_t trial_count = 0;     // back ends tried by unsure targets
     bool has_definite_denial = false;  // a target replied not_owner
+    std::uint32_t silent_count = 0;    // targets that have not answered
     auto operator<=>(search_progress const&) const = default;
 };
 
@@ -83,6 +85,10 @@
     std::uint32_t timeout_count = 0;  // of these
     time_point arrived_at = {};
     time_point requested_at = {};
+
+    // Of a search that ended before its candidates did: those not queried yet.
+    std::vector<placement_candidate> remaining = {};
+    search_progress progress = {};
     auto operator<=>(placement_failed const&) const = default;
 };
 
@@ -110,6 +116,16 @@
     // be lost at once: trials are limited to twice the preferred targets.
     std::uint32_t max_trials = 2 * default_preferred_count;
 
+    // A search that meets this many silent targets stops until the caller
+    // sends again. More are rarely dead at once: the entry's own link or
+    // processor is overloaded, and further queries would add to that.
+    std::uint32_t max_timeouts = 3;
+
+    // Queries of a search that are not charged to the budget. They find nearly
+    // every owner.
+    std::uint32_t free_queries = default_preferred_count;
+    search_budget_limits budget = {};
+
     answer_wait_limits answer_wait = {};
 
     // How long a query is remembered after it timed out. An answer that arrives
@@ -138,6 +154,9 @@
     placement_outcomes on_answer(offer_reply const& answer, target_hints& hints,
                                  time_point now);
 
+    // Records a packet that was sent to its owner; see search_budget.
+    void record_delivery();
+
     // Handles queries that have timed out.
     placement_outcomes tick(target_hints& hints, time_point now);
 
@@ -209,6 +228,7 @@
                                           sent_query const& query,
                                           offer_reply const& answer);
     placement_outcome query_next(placement_state& record, time_point now);
+    bool may_query(placement_state const& record, time_point now);
     std::optional<query_choice>
     choose_next(placement_state const& record) const;
     std::optional<query_choice>
@@ -225,8 +245,8 @@
     list_remaining_candidates(placement_state const& record) const;
     placement_outcome make_query(placement_state& record, std::size_t index,
                                  bool is_last_resort, time_point now);
-    placement_outcome make_failed(placement_state const& record,
-                                  bool is_refused);
+    placement_failed make_failed(placement_state const& record,
+                                 bool is_refused);
     placement_outcome make_found(placement_state const& record,
                                  peer_address owner, offer_reply const& answer);
     void update_hints(offer_reply const& answer, peer_address target,
@@ -243,6 +263,7 @@
                        detail::endpoints_hash>
         placements = {};
     answer_times times;
+    search_budget budget;
     std::unordered_map<std::uint32_t, sent_query> queries = {};
     std::set<query_deadline> deadlines = {};       // earliest first
     std::deque<query_deadline> late_queries = {};  // when to forget them
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -19,7 +19,8 @@
 
 template <placement_policy P>
 placer<P>::placer(placer_limits limits, P policy)
-    : limits(limits), policy(policy), times(limits.answer_wait)
+    : limits(limits), policy(policy), times(limits.answer_wait),
+      budget(limits.budget)
 {
 }
 
@@ -193,12 +194,30 @@
     return remaining;
 }
 
+// Load pattern: all VMs lose power, and callers send the packets of thousands
+// of connections that no target holds any more. Searches for these must not
+// take the entry's time and link from the connections that have an owner.
+template <placement_policy P>
+bool placer<P>::may_query(placement_state const& record, time_point now)
+{
+    if (record.request.packet.is_opening)
+        return true;
+    if (record.timeout_count >= this->limits.max_timeouts)
+        return false;
+    return record.query_count < this->limits.free_queries ||
+           this->budget.try_spend(now);
+}
+
 template <placement_policy P>
 placement_outcome placer<P>::query_next(placement_state& record, time_point now)
 {
-    if (std::optional<query_choice> const next = this->choose_next(record))
+    std::optional<query_choice> const next = this->choose_next(record);
+    bool const is_cut_short = next && !this->may_query(record, now);
+    if (next && !is_cut_short)
         return this->make_query(record, next->index, next->is_last_resort, now);
-    placement_outcome const failed = this->make_failed(record, false);
+    placement_failed failed = this->make_failed(record, false);
+    if (is_cut_short)
+        failed.remaining = this->list_remaining_candidates(record);
     this->placements.erase(record.request.packet.endpoints);
     return failed;
 }
@@ -239,8 +258,8 @@
 // ---- outcomes -----------------------------------------------------------
 
 template <placement_policy P>
-placement_outcome placer<P>::make_failed(placement_state const& record,
-                                         bool is_refused)
+placement_failed placer<P>::make_failed(placement_state const& record,
+                                        bool is_refused)
 {
     return placement_failed{record.request.packet,
                             record.request.service,
@@ -248,7 +267,9 @@
                             record.query_count,
                             record.timeout_count,
                             record.request.arrived_at,
-                            record.request.requested_at};
+                            record.request.requested_at,
+                            {},
+                            record.progress};
 }
 
 template <placement_policy P>
@@ -282,6 +303,11 @@
         hints.avoid(target, detail::unusable_avoidance, now);
 }
 
+template <placement_policy P> void placer<P>::record_delivery()
+{
+    this->budget.record_delivery();
+}
+
 template <placement_policy P>
 placement_outcomes placer<P>::on_answer(offer_reply const& answer,
                                         target_hints& hints, time_point now)
@@ -320,6 +346,7 @@
     if (!is_same_search)
         return {};
     record.timeout_count -= std::min(record.timeout_count, 1U);
+    record.progress.silent_count -= std::min(record.progress.silent_count, 1U);
     if (detail::is_owner_verdict(answer.verdict)) {
         placement_outcomes const outcomes{
             this->make_found(record, query.target, answer)};
@@ -415,6 +442,7 @@
             continue;
         placement_state& record = this->placements.at(expired.endpoints);
         record.timeout_count += 1;
+        record.progress.silent_count += 1;
         hints.record_timeout(record.candidates[record.current].target.address,
                              now);
         outcomes.push_back(this->query_next(record, now));
--- a/src/placement/search_table.cpp
+++ b/src/placement/search_table.cpp
@@ -22,35 +22,48 @@
         this->searches.insert_or_assign(endpoints, record);
 }
 
-void search_table::put_progress(connection_endpoints const& endpoints,
-                                search_record const& record)
+bool search_table::is_blocked(connection_endpoints const& endpoints,
+                              time_point now) const
 {
-    this->put(endpoints, record);
+    auto const found = this->searches.find(endpoints);
+    if (found == this->searches.end())
+        return false;
+    switch (found->second.state) {
+    case search_state::found:
+        return false;
+    case search_state::suspended:
+        return now - found->second.updated_at < suspension;
+    case search_state::failed:
+        return !is_expired(found->second, now);
+    }
+    return false;
 }
 
-void search_table::put_failure(connection_endpoints const& endpoints,
-                               time_point now)
+std::optional<search_record>
+search_table::take_found(connection_endpoints const& endpoints, time_point now)
 {
-    this->put(endpoints, {true, {}, {}, {}, now});
+    return this->take(endpoints, search_state::found, now);
 }
 
-bool search_table::has_failed(connection_endpoints const& endpoints,
-                              time_point now) const
+std::optional<search_record>
+search_table::take_suspended(connection_endpoints const& endpoints,
+                             time_point now)
 {
-    auto const found = this->searches.find(endpoints);
-    return found != this->searches.end() && found->second.has_failed &&
-           !is_expired(found->second, now);
+    std::optional<search_record> const search =
+        this->take(endpoints, search_state::suspended, now);
+    return search && !search->remaining.empty() ? search : std::nullopt;
 }
 
 std::optional<search_record>
-search_table::take(connection_endpoints const& endpoints, time_point now)
+search_table::take(connection_endpoints const& endpoints, search_state state,
+                   time_point now)
 {
     auto const found = this->searches.find(endpoints);
     if (found == this->searches.end())
         return std::nullopt;
     search_record const record = found->second;
     this->searches.erase(found);
-    if (record.has_failed || is_expired(record, now))
+    if (record.state != state || is_expired(record, now))
         return std::nullopt;
     return record;
 }
--- a/src/placement/search_table.hpp
+++ b/src/placement/search_table.hpp
@@ -18,9 +18,16 @@
 
 // ---- search_record ------------------------------------------------------
 
+enum class search_state : std::uint8_t
+{
+    found,      // may be resumed if the target that was found is not the owner
+    suspended,  // stopped early; goes on with the next packet
+    failed      // all targets answered, none owns the connection
+};
+
 struct search_record
 {
-    bool has_failed = false;  // all targets answered, none owns it
+    search_state state = search_state::found;
     service_id service = {};
     std::vector<placement_candidate> remaining = {};  // not queried yet
     search_progress progress = {};
@@ -32,6 +39,10 @@
 // time of a failed one would fail as well.
 constexpr duration search_lifetime = std::chrono::milliseconds{1600};
 
+// A suspended search goes on with the caller's next retransmission, not with
+// the other packets that it has in flight.
+constexpr duration suspension = std::chrono::milliseconds{150};
+
 constexpr std::size_t max_searches = 8192;  // connections in the table
 
 // ---- search_table -------------------------------------------------------
@@ -39,20 +50,19 @@
 class search_table
 {
 public:
-    // Stores the progress of a search that found a target, in case its back
-    // end returns the packet.
-    void put_progress(connection_endpoints const& endpoints,
-                      search_record const& record);
-
-    // Records that all targets answered and none owns the connection.
-    void put_failure(connection_endpoints const& endpoints, time_point now);
+    void put(connection_endpoints const& endpoints,
+             search_record const& record);
 
-    bool has_failed(connection_endpoints const& endpoints,
+    // Whether the connection is not to be searched for now.
+    bool is_blocked(connection_endpoints const& endpoints,
                     time_point now) const;
 
-    // Removes and returns the progress of a search that can be resumed.
-    std::optional<search_record> take(connection_endpoints const& endpoints,
-                                      time_point now);
+    // Remove and return a search that goes on: after its target turned out not
+    // to be the owner, and after a suspension. Nothing if it starts over.
+    std::optional<search_record>
+    take_found(connection_endpoints const& endpoints, time_point now);
+    std::optional<search_record>
+    take_suspended(connection_endpoints const& endpoints, time_point now);
 
     // Removes expired entries from part of the table; to be called each tick.
     void sweep(time_point now);
@@ -60,8 +70,8 @@
     std::size_t size() const;
 
 private:
-    void put(connection_endpoints const& endpoints,
-             search_record const& record);
+    std::optional<search_record> take(connection_endpoints const& endpoints,
+                                      search_state state, time_point now);
 
     std::size_t next_bucket = 0;  // where the next sweep starts
     std::unordered_map<connection_endpoints, search_record,
--- a/tests/stories/connection_fleet_story.cpp
+++ b/tests/stories/connection_fleet_story.cpp
@@ -308,3 +308,83 @@
     CHECK(this->fleet.earned_share(load_start, load_start + 4s) > 0.85);
     this->check_guarantees();
 }
+
+namespace {
+
+// ---- connections that are kept open -------------------------------------
+
+peer_address const feed_route{0xC6120001, 445};
+
+// Six entries and forty targets of two slots each. Callers keep their
+// connections open for many requests, as in the kbc-paint-grown deployment.
+struct long_connection_fixture : Utest
+{
+    static constexpr std::size_t session_count = 1200;
+    fake_connections<> fleet{11};
+    std::size_t feed = 0;
+
+    void setup() override
+    {
+        this->fleet.clients_per_data_centre = 400;
+        this->feed = this->fleet.add_kind(
+            {feed_route, "atelier", 30ms, 250ms, 1500ms, 2, true, 1, 0.3});
+        for (int i = 0; i < 6; ++i)
+            this->fleet.add_entry(i % 3);
+        for (int i = 0; i < 48; ++i)
+            this->fleet.add_target("atelier", i % 3);
+        this->fleet.publish();
+        this->fleet.run_for(1s);
+        this->fleet.add_sessions(this->feed, session_count, 900ms, 40s, 3);
+        this->fleet.run_for(5s);
+    }
+
+    double earned_between(duration from, duration until) const
+    {
+        return this->fleet.earned_share(this->lost_at + from,
+                                        this->lost_at + until);
+    }
+
+    void lose_power()
+    {
+        this->lost_at = this->fleet.now();
+        this->fleet.power_off_all(1100ms);
+    }
+
+    time_point lost_at = {};
+};
+
+}  // namespace
+
+SECTION(long_connections, long_connection_fixture){};
+
+TEST(long_connections, are_served_in_time)
+{
+    time_point const start = this->fleet.now();
+    this->fleet.run_for(5s);
+    CHECK(this->fleet.earned_share(start, start + 4s) > 0.97);
+    UNSIGNED_LONGS_EQUAL(0, this->fleet.count_requests(
+                                completion_status::failed, start, start + 3s));
+}
+
+TEST(long_connections, find_their_targets_when_an_entry_leaves)
+{
+    time_point const start = this->fleet.now();
+    this->fleet.withdrawn = {1};
+    this->fleet.run_for(3s);
+    this->fleet.withdrawn = {};
+    this->fleet.run_for(4s);
+    CHECK(this->fleet.earned_share(start, start + 5s) > 0.97);
+    UNSIGNED_LONGS_EQUAL(0, this->fleet.count_requests(
+                                completion_status::failed, start, start + 5s));
+}
+
+// Load pattern: a power failure ends the connections of all callers. Each finds
+// that out with its next request. In the scenario kbc-paint-grown trouble-1 the
+// searches for dead connections took the entries' time from the others, and a
+// quarter of the requests failed as long as the load lasted.
+TEST(long_connections, are_served_again_within_seconds_of_a_power_loss)
+{
+    this->lose_power();
+    this->fleet.run_for(20s);
+    CHECK(this->earned_between(8s, 10s) > 0.97);
+}
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -2,6 +2,7 @@
 #include "placement/owner_table.hpp"
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
+#include "placement/search_table.hpp"
 #include "placement/target_directory.hpp"
 #include "story.hpp"
 
@@ -851,3 +852,113 @@
     CHECK(this->now - time_point{100s} <
           (slow_target_count - 1) * this->answer_time + 200ms);
 }
+
+// ---- limits of a search -------------------------------------------------
+
+SECTION(limiting_a_search, a_placer){};
+
+// Load pattern: the entry's own link or processor is overloaded, so that all
+// targets seem silent.
+TEST(limiting_a_search, stops_after_a_few_silent_targets)
+{
+    this->start_search_among(30);
+    for (int i = 0; i < 3; ++i) {
+        this->now += 20ms;
+        this->outcomes = this->placements.tick(this->hints, this->now);
+    }
+    placement_failed const* failed = this->find_outcome<placement_failed>();
+    CHECK(failed != nullptr);
+    UNSIGNED_LONGS_EQUAL(27, failed->remaining.size());
+    UNSIGNED_LONGS_EQUAL(3, failed->progress.silent_count);
+}
+
+// Load pattern: a power failure has ended thousands of connections.
+TEST(limiting_a_search, stops_beyond_the_preferred_targets_without_budget)
+{
+    placer_limits limits{};
+    limits.budget = {
+        .queries_per_delivery = 1, .queries_per_second = 0, .max_queries = 2};
+    this->placements = placer<free_first>{limits};
+    this->start_search_among(30);
+    std::size_t query_count = 0;
+    for (; this->find_query() != nullptr; ++query_count)
+        this->answer(offer_verdict::not_owner);
+    UNSIGNED_LONGS_EQUAL(limits.free_queries + 2, query_count);
+    placement_failed const* failed = this->find_outcome<placement_failed>();
+    CHECK(failed != nullptr);
+    UNSIGNED_LONGS_EQUAL(30 - query_count, failed->remaining.size());
+}
+
+TEST(limiting_a_search, allows_more_queries_after_deliveries)
+{
+    search_budget budget{{.queries_per_delivery = 0.5,
+                          .queries_per_second = 0,
+                          .max_queries = 1}};
+    CHECK(budget.try_spend(this->now));
+    CHECK(!budget.try_spend(this->now));
+    budget.record_delivery();
+    CHECK(!budget.try_spend(this->now));
+    budget.record_delivery();
+    CHECK(budget.try_spend(this->now));
+}
+
+TEST(limiting_a_search, allows_more_queries_after_a_while)
+{
+    search_budget budget{{.queries_per_delivery = 0,
+                          .queries_per_second = 10,
+                          .max_queries = 1}};
+    CHECK(budget.try_spend(this->now));
+    CHECK(!budget.try_spend(this->now + 90ms));
+    CHECK(budget.try_spend(this->now + 110ms));
+}
+
+namespace {
+
+// ---- searches that go on ------------------------------------------------
+
+struct a_search_table : Utest
+{
+    time_point now{100s};
+    search_table searches = {};
+
+    void put(search_state state, std::vector<placement_candidate> remaining)
+    {
+        this->searches.put(endpoints, {.state = state,
+                                       .remaining = std::move(remaining),
+                                       .updated_at = this->now});
+    }
+};
+
+}  // namespace
+
+SECTION(a_suspended_search, a_search_table){};
+
+TEST(a_suspended_search, ignores_the_packets_that_are_in_flight)
+{
+    this->put(search_state::suspended, {{second, 2}});
+    CHECK(this->searches.is_blocked(endpoints, this->now + 100ms));
+    CHECK(!this->searches.is_blocked(endpoints, this->now + 200ms));
+}
+
+TEST(a_suspended_search, goes_on_with_the_remaining_targets)
+{
+    this->put(search_state::suspended, {{second, 2}});
+    std::optional<search_record> const search =
+        this->searches.take_suspended(endpoints, this->now + 200ms);
+    CHECK(search && search->remaining.front().address == second);
+}
+
+TEST(a_suspended_search, starts_over_when_all_targets_were_queried)
+{
+    this->put(search_state::suspended, {});
+    CHECK(!this->searches.take_suspended(endpoints, this->now + 200ms));
+}
+
+TEST(a_suspended_search, is_not_mistaken_for_one_that_found_a_target)
+{
+    this->put(search_state::found, {{second, 2}});
+    CHECK(!this->searches.is_blocked(endpoints, this->now));
+    CHECK(!this->searches.take_suspended(endpoints, this->now));
+    this->put(search_state::suspended, {{second, 2}});
+    CHECK(!this->searches.take_found(endpoints, this->now));
+}
