Search in the other services before silent targets are asked again

Change: a service searched to its end is followed by the next one whether or not targets were silent; if any was, the search starts over after 150 ms.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -214,18 +214,19 @@
                          std::vector<service_id> const& services,
                          std::optional<peer_address> preferred,
                          std::optional<peer_address> returned_by,
-                         std::uint32_t query_count, time_point now);
+                         search_progress const& before, time_point now);
     void search_next_service(effects_type& effects,
                              connection_packet const& packet,
-                             service_id searched, std::uint32_t query_count,
+                             service_id searched, search_progress const& before,
                              placement_note const& note, time_point now);
     void resume_search(effects_type& effects, connection_packet const& packet,
                        peer_address returned_by, time_point now);
     void search_candidates(effects_type& effects,
                            connection_packet const& packet,
                            search_record const& search, time_point now);
-    void record_lost_owner(effects_type& effects, placement_note const& note,
-                           time_point now);
+    void record_lost_owner(effects_type& effects,
+                           search_progress const& progress,
+                           placement_note const& note, time_point now);
     void suspend_search(effects_type& effects, placement_failed const& failed,
                         placement_note const& note, time_point now);
     void start_placement(effects_type& effects,
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -369,7 +369,7 @@
     effects_type& effects, connection_packet const& packet,
     std::vector<service_id> const& services,
     std::optional<peer_address> preferred,
-    std::optional<peer_address> returned_by, std::uint32_t query_count,
+    std::optional<peer_address> returned_by, search_progress const& before,
     time_point now)
 {
     for (service_id const service : services) {
@@ -378,7 +378,9 @@
             continue;
         search_record search{};
         search.service = service;
-        search.progress.query_count = query_count;
+        search.progress = {.query_count = before.query_count,
+                           .has_silent_target = before.has_silent_target,
+                           .started_at = before.started_at};
         search.remaining = detail::make_candidates(
             rank_owners(*part, make_flow_key(packet.endpoints)), preferred,
             returned_by);
@@ -393,7 +395,7 @@
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::search_next_service(
     effects_type& effects, connection_packet const& packet, service_id searched,
-    std::uint32_t query_count, placement_note const& note, time_point now)
+    search_progress const& before, placement_note const& note, time_point now)
 {
     route_record const* route =
         this->config.find_route(packet.endpoints.service);
@@ -405,8 +407,8 @@
     services.erase(services.begin(),
                    position == services.end() ? position : position + 1);
     if (!this->search_services(effects, packet, services, std::nullopt,
-                               std::nullopt, query_count, now))
-        this->record_lost_owner(effects, note, now);
+                               std::nullopt, before, now))
+        this->record_lost_owner(effects, before, note, now);
 }
 
 template <random_source R, placement_policy P>
@@ -439,7 +441,7 @@
         this->search(effects, packet, std::nullopt, returned_by, now);
     else if (previous->remaining.empty())
         this->search_next_service(effects, packet, previous->service,
-                                  previous->progress.query_count,
+                                  previous->progress,
                                   this->make_note(placement_result::owner_lost,
                                                   packet.endpoints, now, now),
                                   now);
@@ -449,11 +451,16 @@
 
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::record_lost_owner(effects_type& effects,
+                                               search_progress const& progress,
                                                placement_note const& note,
                                                time_point now)
 {
-    this->searches.put(note.endpoints,
-                       {.state = search_state::failed, .updated_at = now});
+    // A silent target may be the owner: the search soon starts over.
+    this->searches.put(note.endpoints, {.state = progress.has_silent_target
+                                                     ? search_state::suspended
+                                                     : search_state::failed,
+                                        .progress = progress,
+                                        .updated_at = now});
     effects.push_back(note);
 }
 
@@ -588,10 +595,10 @@
                         failed.arrived_at, now);
     note.query_count = failed.query_count;
     note.timeout_count = failed.timeout_count;
-    // A target that was not queried or did not answer may be the owner.
+    // A target that was not queried yet may be the owner.
     if (failed.remaining.empty())
         this->search_next_service(effects, failed.packet, failed.service,
-                                  failed.progress.query_count, note, now);
+                                  failed.progress, note, now);
     else
         this->suspend_search(effects, failed, note, now);
 }
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -34,6 +34,7 @@
     std::uint32_t query_count = 0;     // in all services searched
     std::uint32_t trial_count = 0;     // back ends tried by unsure targets
     bool has_definite_denial = false;  // a target replied not_owner
+    bool has_silent_target = false;    // in a service searched to its end
     time_point started_at = {};        // with the first of its targets
     auto operator<=>(search_progress const&) const = default;
 };
@@ -87,7 +88,7 @@
     time_point arrived_at = {};
     time_point requested_at = {};
 
-    // Of a search that may go on: the targets not queried yet, then those that
+    // Of a search that was stopped: the targets not queried yet, then those that
     // did not answer.
     std::vector<placement_candidate> remaining = {};
     search_progress progress = {};
@@ -245,7 +246,8 @@
     std::optional<std::size_t>
     find_least_loaded(placement_state const& record) const;
     std::vector<placement_candidate>
-    list_candidates(placement_state const& record, bool only_silent) const;
+    list_remaining_candidates(placement_state const& record) const;
+    bool has_silent_candidate(placement_state const& record) const;
     placement_outcome make_query(placement_state& record, std::size_t index,
                                  bool is_last_resort, time_point now);
     placement_failed make_failed(placement_state const& record,
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -183,8 +183,7 @@
 // Returns the candidates that a resumed search would query, silent ones last.
 template <placement_policy P>
 std::vector<placement_candidate>
-placer<P>::list_candidates(placement_state const& record,
-                           bool only_silent) const
+placer<P>::list_remaining_candidates(placement_state const& record) const
 {
     std::vector<placement_candidate> remaining;
     std::vector<placement_candidate> silent;
@@ -194,7 +193,7 @@
         bool const is_unsure = candidate.state == candidate_state::busy;
         if (candidate.state == candidate_state::silent)
             silent.push_back(candidate.target);
-        else if (candidate.state != candidate_state::excluded && !only_silent)
+        else if (candidate.state != candidate_state::excluded)
             remaining.push_back(
                 {candidate.target.address, candidate.target.slots, is_unsure});
     }
@@ -202,6 +201,15 @@
     return remaining;
 }
 
+template <placement_policy P>
+bool placer<P>::has_silent_candidate(placement_state const& record) const
+{
+    return std::any_of(record.candidates.begin(), record.candidates.end(),
+                       [](candidate_record const& candidate) {
+                           return candidate.state == candidate_state::silent;
+                       });
+}
+
 // Load pattern: all VMs lose power, and callers send the packets of thousands
 // of connections that no target holds any more. Searches for these must not
 // take the entry's time and link from the connections that have an owner.
@@ -224,7 +232,10 @@
     if (next && !is_cut_short)
         return this->make_query(record, next->index, next->is_last_resort, now);
     placement_failed failed = this->make_failed(record, false);
-    failed.remaining = this->list_candidates(record, !is_cut_short);
+    if (is_cut_short)
+        failed.remaining = this->list_remaining_candidates(record);
+    else if (this->has_silent_candidate(record))
+        failed.progress.has_silent_target = true;
     this->placements.erase(record.request.packet.endpoints);
     return failed;
 }
@@ -295,7 +306,7 @@
                        record.request.arrived_at,
                        record.request.requested_at,
                        record.pending_packets,
-                       this->list_candidates(record, false),
+                       this->list_remaining_candidates(record),
                        record.progress};
 }
 
--- a/src/placement/search_table.cpp
+++ b/src/placement/search_table.cpp
@@ -54,7 +54,9 @@
 search_table::take_suspended(connection_endpoints const& endpoints,
                              time_point now)
 {
-    return this->take(endpoints, search_state::suspended, now);
+    std::optional<search_record> const search =
+        this->take(endpoints, search_state::suspended, now);
+    return search && !search->remaining.empty() ? search : std::nullopt;
 }
 
 std::optional<search_record>
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -317,6 +317,7 @@
     this->send(1);
     this->answer(this->get_last_offer(), offer_verdict::not_owner);
     this->feed(clock_tick{}, 20ms);
+    this->answer(this->get_last_offer(), offer_verdict::not_owner);
     this->send(1);
     UNSIGNED_LONGS_EQUAL(0, this->find_all<send_offer>().size());
     this->now += 180ms;
@@ -359,6 +360,17 @@
     CHECK(this->has_note(placement_result::owner_found));
 }
 
+// Load pattern: as above, while machines of the new service are cut off.
+TEST(an_entry, searches_in_the_former_service_before_silent_targets_answer)
+{
+    this->publish({make_route(members_route, "archive")});
+    this->send(1);
+    this->feed(clock_tick{}, 20ms);
+    CHECK(this->get_last_offer().offer.service == make_service_id("members"));
+    this->answer(this->get_last_offer(), offer_verdict::taken);
+    CHECK(this->has_note(placement_result::owner_found));
+}
+
 // A new connection is never offered to the service that the route had before.
 TEST(an_entry, opens_connections_in_the_present_service_of_a_route_alone)
 {
