--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -659,7 +659,10 @@
     effects.push_back(note);
     if (this->connection_placer.is_placing(packet.endpoints))
         return;
-    if (!packet.is_opening)
+    bool const has_other_owner = owner && owner->target != event.from;
+    if (!packet.is_opening && has_other_owner)
+        this->forward(effects, *owner, packet, now);
+    else if (!packet.is_opening)
         this->resume_search(effects, packet, event.from, now);
     else if (now - times.arrived_at < this->settings.max_hold_time)
         this->place(effects, packet, times, event.from, now);
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -419,6 +419,29 @@
     CHECK(this->has_note(placement_result::owner_lost));
 }
 
+// Load pattern: on a saturated machine a back end returns packets half a second
+// late, when their owner has been found at another target (soak-limits, seed 900:
+// the search began again and again at targets that only tried their back ends).
+TEST(an_entry, sends_a_packet_that_is_returned_late_to_the_owner_found_since)
+{
+    this->send(1);
+    this->answer(this->get_last_offer(), offer_verdict::unsure);
+    this->answer(this->get_last_offer(), offer_verdict::unsure);
+    send_offer const tried = this->get_last_offer();
+    this->answer(tried, offer_verdict::taken);
+    this->return_packet(tried.to, offer_verdict::not_owner,
+                        make_packet(members_route, 1, false));
+    send_offer const owner = this->get_last_offer();
+    this->answer(owner, offer_verdict::taken);
+    this->return_packet(tried.to, offer_verdict::not_owner,
+                        make_packet(members_route, 1, false));
+    CHECK(this->get_last_offer().to == owner.to);
+    CHECK(this->get_last_offer().offer.query == query_id{});
+    this->send(1);
+    CHECK(this->get_last_offer().to == owner.to);
+    CHECK(this->get_last_offer().offer.query == query_id{});
+}
+
 TEST(an_entry, places_a_returned_connection_on_another_target)
 {
     this->open(1);
