--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -56,6 +56,14 @@
     return services;
 }
 
+inline bool has_service(route_record const& route, service_id service)
+{
+    return std::any_of(route.services.begin(), route.services.end(),
+                       [service](weighted_service const& one) {
+                           return one.service == service;
+                       });
+}
+
 // Most services that are searched for the owner of a connection.
 constexpr std::size_t max_searched_services = 16;
 
@@ -372,6 +380,8 @@
     std::optional<peer_address> returned_by, search_progress const& before,
     time_point now)
 {
+    route_record const* route =
+        this->config.find_route(packet.endpoints.service);
     for (service_id const service : services) {
         service_part const* part = this->directory.find(service);
         if (part == nullptr)
@@ -381,6 +391,10 @@
         search.progress = {.query_count = before.query_count,
                            .has_silent_target = before.has_silent_target,
                            .started_at = before.started_at};
+        // Only targets that know the connection answer for another service: a
+        // trial would send its packets to back ends that never had it.
+        if (route == nullptr || !detail::has_service(*route, service))
+            search.progress.trial_count = this->settings.placement.max_trials;
         search.remaining = detail::make_candidates(
             rank_owners(*part, make_flow_key(packet.endpoints)), preferred,
             returned_by);
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -371,6 +371,21 @@
     CHECK(this->has_note(placement_result::owner_found));
 }
 
+// Load pattern: every process was killed, so that all targets are unsure, and no
+// target of the route's service has the connection (soak-limits, seed 900: 48 of
+// its packets were sent to back ends of three services).
+TEST(an_entry, tries_no_back_end_of_a_service_that_a_route_had_before)
+{
+    this->publish({make_route(members_route, "archive")});
+    this->send(1);
+    this->answer(this->get_last_offer(), offer_verdict::not_owner);
+    while (!this->find_all<send_offer>().empty()) {
+        CHECK(!this->get_last_offer().offer.is_last_resort);
+        this->answer(this->get_last_offer(), offer_verdict::unsure);
+    }
+    CHECK(this->has_note(placement_result::owner_lost));
+}
+
 // A new connection is never offered to the service that the route had before.
 TEST(an_entry, opens_connections_in_the_present_service_of_a_route_alone)
 {
