--- a/review/standins/world.hpp
+++ b/review/standins/world.hpp
@@ -347,6 +347,25 @@
         return now_s();
     }
 
+    // Compaction as the platform's pages name it: watches hear nothing while
+    // changes are made, then the history is dropped and they are cut.
+    void stop_hearing() { this->is_deaf = true; }
+
+    void drop_history()
+    {
+        this->is_deaf = false;
+        this->oldest = this->revision;
+        this->events.clear();
+        std::vector<int> cut;
+        for (auto const& [fd, one] : this->connections)
+            if (one.watch)
+                cut.push_back(fd);
+        for (int fd : cut) {
+            ::close(fd);
+            this->connections.erase(fd);
+        }
+    }
+
     void add_polls(std::vector<pollfd>& polls) const
     {
         polls.push_back({this->listener, POLLIN, 0});
@@ -375,7 +394,7 @@
                 one.received.erase(0, end + 4);
                 this->handle(fd, one, line);
             }
-            if (one.watch && now_s() >= one.watch->until)
+            if (one.watch && now_s() >= one.watch->until && !this->is_deaf)
                 this->answer_watch(fd, one);
         }
         for (int fd : closed) {
@@ -494,8 +513,12 @@
                 std::strtoull(field(line, "after").c_str(), nullptr, 10),
                 now_s() +
                     std::strtod(field(line, "waitMs").c_str(), nullptr) / 1000};
-            if (this->has_events(*one.watch))
+            if (one.watch->after < this->oldest) {
+                one.watch.reset();
+                reply(fd, 410, "{}");
+            } else if (!this->is_deaf && this->has_events(*one.watch)) {
                 this->answer_watch(fd, one);
+            }
         } else if (line.starts_with("GET /kv-key")) {
             auto const found = this->items.find(field(line, "key"));
             if (found == this->items.end())
@@ -534,6 +557,8 @@
 
     void answer_watches()
     {
+        if (this->is_deaf)
+            return;
         for (auto& [fd, one] : this->connections)
             if (one.watch && this->has_events(*one.watch))
                 this->answer_watch(fd, one);
@@ -541,6 +566,8 @@
 
     int listener = -1;
     std::uint64_t revision = 100;
+    std::uint64_t oldest = 0;  // the history begins after this revision
+    bool is_deaf = false;
     std::map<std::string, item> items = {};
     std::vector<event> events = {};  // the whole history
     std::map<int, connection> connections = {};
