--- a/review/1/main.cpp
+++ b/review/1/main.cpp
@@ -1,6 +1,6 @@
 // An entry of another writer among those of the endpoints, whose key has the
 // full length that the store allows. See claim.txt.
-#include "../standins/world.hpp"
+#include "world.hpp"
 
 using namespace review;
 
--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/bin/case-1 ] || exit 2
-exec review/bin/case-1 review/1/record.txt
+[ -x review/1/case ] || exit 2
+exec review/1/case review/1/record.txt
--- a/review/2/main.cpp
+++ b/review/2/main.cpp
@@ -1,6 +1,6 @@
 // All fronts but one leave the system; then endpoints report that they leave.
 // See claim.txt.
-#include "../standins/world.hpp"
+#include "../1/world.hpp"
 
 using namespace review;
 
--- a/review/3/main.cpp
+++ b/review/3/main.cpp
@@ -1,7 +1,7 @@
 // A route moves to another service; then the operator stops and starts the
 // machines in turn. Flows opened before stay with their endpoints. See
 // claim.txt.
-#include "../standins/world.hpp"
+#include "../1/world.hpp"
 
 using namespace review;
 
--- a/review/4/main.cpp
+++ b/review/4/main.cpp
@@ -1,6 +1,6 @@
 // An agent on the machine of one endpoint registers itself among the endpoints;
 // then the operator stops and starts the machines in turn. See claim.txt.
-#include "../standins/world.hpp"
+#include "../1/world.hpp"
 
 using namespace review;
 
--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -2,5 +2,5 @@
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 # TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
-[ -x review/bin/case-4 ] || exit 2
-exec review/bin/case-4 review/4/record.txt
+[ -x review/4/case ] || exit 2
+exec review/4/case review/4/record.txt
