Read the platform when changes of peers don't arrive; limit target names

What callers saw: with one store key of 200 bytes from another application, entries that don't watch the store kept the configuration from before it.

Cause: a target's name is its key, "@" and its incarnation, 213 bytes there; peers reject a message with a name of more than 200 bytes. The entries didn't read the store themselves either, because the digests of the same peers passed for recent contact with it.

Evidence: logs of the case: the two entries behind log "decode_packet malformed, invalid fields" for each update and never a read.

Change: names longer than the limit are cut and get a hash of the whole. The contact of a peer that is ahead counts only once this catalog has caught up, so an entry that misses changes for whatever reason (undecodable, too large, lost) reads the platform within the limit for changes. An update that is too large to send is logged; it was dropped silently.

--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -24,6 +24,10 @@
 
 // ---- records ------------------------------------------------------------
 
+// Longest name of a service, target or data centre, in bytes. Peers reject a
+// message with a longer one, and with it all other changes in that message.
+constexpr std::size_t max_name_size = 200;
+
 enum class target_state : std::uint8_t
 {
     serving,  // accepts new flows
--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -7,10 +7,21 @@
 
 namespace {
 
+// Returns the name itself if it is short enough, else its first bytes and the
+// hash of all of it.
+std::string limit_name(std::string const& name)
+{
+    if (name.size() <= max_name_size)
+        return name;
+    std::string const hash = std::to_string(hash_bytes(name));
+    return name.substr(0, max_name_size - hash.size() - 1) + "~" + hash;
+}
+
 target_record make_record(std::string const& key, published_target const& from)
 {
     // A restarted target keeps its key but is a different target.
-    std::string const name = key + "@" + std::to_string(from.incarnation);
+    std::string const name =
+        limit_name(key + "@" + std::to_string(from.incarnation));
     return {make_target_id(name), name,       from.data_centre, from.address,
             from.address,         from.slots, from.state};
 }
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -5,7 +5,7 @@
 // Model: models/generations.pml; comments name the corresponding model steps.
 //
 // Index
-//   settings     timing, own identity and seeds
+//   settings     timing, own identity, seeds and contacts with the platform
 //   effects      effects that the program has to perform
 //   membership   aggregate: decides what to exchange, fetch and read, and when
 //                the catalog is recent enough to be used
@@ -67,6 +67,14 @@
     auto operator<=>(membership_settings const&) const = default;
 };
 
+// A peer's latest contact with the platform and its catalog then.
+struct platform_contact_report
+{
+    time_point at = {};
+    catalog_version version = {};
+    auto operator<=>(platform_contact_report const&) const = default;
+};
+
 // Age of the last contact with the platform before there was any.
 constexpr duration initial_platform_age = std::chrono::hours{24};
 
@@ -167,7 +175,7 @@
                                       catalog const& current, time_point now);
 
     // Returns the time since the latest known contact of any process with the
-    // platform.
+    // platform that showed the catalog, or an earlier one, to be current.
     duration platform_age(time_point now) const;
 
 private:
@@ -188,6 +196,9 @@
                      time_point now);
     read_schedule current_schedule(catalog const& current);
     void begin_catch_up(time_point now);
+    void record_contact(platform_contact_report const& report,
+                        catalog const& current);
+    void accept_reported_contact(catalog const& current);
     bool is_confirmed(time_point now) const;
 
     membership_settings settings;
@@ -195,7 +206,12 @@
     peer_table peers = {};
     time_point last_tick_at;
     time_point next_exchange_at;
-    time_point platform_contact;  // estimated; of any process
+
+    // When the platform was last known to hold nothing newer than the catalog;
+    // estimated, from the contact of any process.
+    time_point platform_contact;
+    // Of a peer that is ahead.
+    std::optional<platform_contact_report> reported_contact = {};
     std::optional<time_point> fetch_started_at = {};
     std::optional<time_point> read_started_at = {};
     duration current_watch = {};  // wait of the watch in progress; 0: none
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -93,6 +93,29 @@
             peer, this->make_digest(current, is_reply_requested, now)});
 }
 
+// A peer that is ahead says nothing about the age of this catalog: its changes
+// may never arrive here. Its contact counts once the catalog has caught up.
+template <random_source R>
+void membership<R>::record_contact(platform_contact_report const& report,
+                                   catalog const& current)
+{
+    if (report.version <= current.version())
+        this->platform_contact = std::max(this->platform_contact, report.at);
+    else if (!this->reported_contact || this->reported_contact->at < report.at)
+        this->reported_contact = report;
+}
+
+template <random_source R>
+void membership<R>::accept_reported_contact(catalog const& current)
+{
+    if (!this->reported_contact ||
+        this->reported_contact->version > current.version())
+        return;
+    this->platform_contact =
+        std::max(this->platform_contact, this->reported_contact->at);
+    this->reported_contact.reset();
+}
+
 template <random_source R>
 membership_effects
 membership<R>::handle_digest(peer_address from, peer_digest const& digest,
@@ -104,8 +127,7 @@
     for (peer_address const& peer : digest.peers)
         if (peer != this->settings.exchange)
             this->peers.add_mentioned(peer, now);
-    this->platform_contact =
-        std::max(this->platform_contact, now - digest.platform_age);
+    this->record_contact({now - digest.platform_age, digest.version}, current);
     this->highest_seen_version =
         std::max(this->highest_seen_version, digest.version);
     if (digest.version > current.version()) {
@@ -143,6 +165,7 @@
     } else {
         this->fetch_started_at.reset();
         this->is_compared_with_peer = true;
+        this->accept_reported_contact(current);
     }
     if (adopted != nullptr)
         return this->announce(*adopted, this->settings.timing.update_fan_out,
@@ -164,6 +187,7 @@
 {
     this->is_compared_with_peer = true;
     this->fetch_started_at.reset();
+    this->accept_reported_contact(current);
     return this->announce(adopted, this->settings.timing.forward_fan_out,
                           current, now);
 }
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -350,8 +350,13 @@
 void connection_entry_program<Format, Reader>::perform(
     send_update const& effect)
 {
-    for (std::string const& part : split_into_datagrams(
-             encode_packet(effect.message), ++this->last_message_number))
+    std::vector<std::string> const parts = split_into_datagrams(
+        encode_packet(effect.message), ++this->last_message_number);
+    if (parts.empty())
+        this->perform(
+            report_failure{{step::exchange_with_peer, reason::too_large,
+                            effect.to, "update exceeds the message size"}});
+    for (std::string const& part : parts)
         this->loop.send(peer_socket, effect.to, part);
 }
 
--- a/src/wire/fields.hpp
+++ b/src/wire/fields.hpp
@@ -47,7 +47,6 @@
     offer_reply = 65
 };
 
-constexpr std::size_t max_name_size = 200;      // bytes
 constexpr std::size_t max_list_size = 4096;     // items of a list
 constexpr std::size_t packed_address_size = 6;  // bytes: IP and port
 
--- a/tests/stories/codec_story.cpp
+++ b/tests/stories/codec_story.cpp
@@ -1,3 +1,4 @@
+#include "catalog/published.hpp"
 #include "story.hpp"
 #include "wire/codec.hpp"
 
@@ -106,6 +107,22 @@
         CHECK(bytes.size() <= max_datagram_size);
 }
 
+// One key of another application made every update unreadable for peers, whose
+// configuration stayed at an old generation.
+TEST(codec, decodes_updates_with_target_keys_of_any_length)
+{
+    for (std::size_t size = 1; size <= 2 * max_name_size; ++size) {
+        published_target const target{"members", "zg-a", {1, 2}, 2, ~0ULL, {3}};
+        published_catalog published;
+        std::optional<catalog_change> const change = published.apply(
+            {{7}, true, {{std::string(size, 'x'), target}}, {}}, {});
+        CHECK(change.has_value());
+        peer_update const update{{{1}, {{7}, {3}}, 4ms, {5, 6}, false},
+                                 *change};
+        SAME(datagram{update}, this->decode(encode_packet(update)));
+    }
+}
+
 struct given_invalid_packets : codec_fixture
 {
 };
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -570,6 +570,81 @@
 
 namespace {
 
+// ---- peers --------------------------------------------------------------
+
+// An entry that relies on its peers to read the platform.
+struct an_entry_among_peers : an_entry_with_a_configuration
+{
+    void setup() override
+    {
+        this->an_entry_with_a_configuration::setup();
+        for (std::uint64_t i = 0; i < peer_count; ++i)
+            this->hear_from(i, this->role.configuration().version());
+    }
+
+    // The peer got an answer from the platform just now.
+    void hear_from(std::uint64_t peer, catalog_version version)
+    {
+        peer_digest message{};
+        message.sender = {100 + peer};
+        message.version = version;
+        this->feed(digest_packet{
+            {0x0A010010 + static_cast<std::uint32_t>(peer), 7280}, message});
+    }
+
+    // Returns the time until the first read of the platform while all peers
+    // report a version; `limit` if there was none.
+    duration measure_time_to_read(catalog_version version, duration limit)
+    {
+        time_point const from = this->now;
+        while (this->now - from < limit) {
+            for (std::uint64_t i = 0; i < peer_count; ++i)
+                this->hear_from(i, version);
+            this->feed(clock_tick{}, 100ms);
+            if (!this->find_all<read_platform>().empty())
+                return this->now - from;
+        }
+        return limit;
+    }
+
+    static constexpr std::uint64_t peer_count = 20;
+};
+
+}  // namespace
+
+SECTION(an_entry_with_peers, an_entry_among_peers){};
+
+TEST(an_entry_with_peers, leaves_the_platform_to_them)
+{
+    CHECK(this->measure_time_to_read(this->role.configuration().version(),
+                                     10s) == 10s);
+}
+
+// Updates that could not be decoded left an entry at an old generation: the
+// digests of the same peers passed for recent contact with the platform.
+TEST(an_entry_with_peers, reads_the_platform_when_their_changes_do_not_arrive)
+{
+    this->measure_time_to_read(this->role.configuration().version(), 30s);
+    catalog_version const later{{this->last_generation + 1}, {1}};
+    // Changes must be in force within 3 s.
+    CHECK(this->measure_time_to_read(later, 10s) < 3s);
+}
+
+TEST(an_entry_with_peers, counts_their_contact_once_it_has_their_changes)
+{
+    catalog_version const current = this->role.configuration().version();
+    this->measure_time_to_read(current, 5s);
+    catalog_change change{current.number, {current.number.value + 1}};
+    change.result_digest = current.content;
+    catalog_version const later{change.to, current.content};
+    this->hear_from(0, later);
+    this->feed(change_received{change_source::peer, {}, change}, 1s);
+    CHECK(this->role.configuration().version() == later);
+    CHECK(this->role.platform_age(this->now) == 1s);
+}
+
+namespace {
+
 // ---- pauses -------------------------------------------------------------
 
 struct a_paused_entry : an_entry_with_a_configuration
