Watch the platform when no peer is left; bound the read interval

Cause: an entry ranks itself among the peers it hears from. Without any, it took a rank of 0 to 63 by a hash of its name, didn't watch the store and read it every 0.25 to 16 s. The same rule, an interval that grows with the rank, also holds up an entry behind peers that stopped less than 10 s ago: 6 s behind 24 of them, 23 s behind 90.

Evidence: log of the last entry in the case: no failed read, two generations adopted together 7 s after the first.

Change: among no peers the rank is 0. The interval is bounded by the age at which a read becomes due, so that no rank delays a read past the limit for changes; the timing is made from that limit in membership/readers.

--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -264,11 +264,11 @@
 }
 
 // Returns the rank among the entries of the catalog if it lists any, else among
-// the peers learnt from digests.
+// the peers learnt from digests. A process without peers ranks first.
 template <random_source R>
 std::size_t membership<R>::compute_rank(catalog const& current) const
 {
-    if (current.fleet().entries.empty() && this->peers.size() > 0)
+    if (current.fleet().entries.empty())
         return this->peers.compute_rank(this->settings.self, 0);
     return compute_reader_rank(current.fleet(), this->settings.self,
                                this->settings.data_centre);
--- a/src/membership/readers.cpp
+++ b/src/membership/readers.cpp
@@ -1,5 +1,7 @@
 #include "membership/readers.hpp"
 
+#include <algorithm>
+
 namespace lagoon {
 
 namespace {
@@ -21,8 +23,24 @@
         return {true, timing.interval_step,
                 rank == 0 ? timing.first_watch_duration
                           : timing.other_watch_duration};
-    return {
-        false, timing.interval_step * static_cast<std::int64_t>(rank + 1), {}};
+    duration const interval =
+        timing.interval_step * static_cast<std::int64_t>(rank + 1);
+    return {false, std::min(interval, timing.max_interval), {}};
+}
+
+// Two processes watch, so that updates still arrive if one of them fails. The
+// others read when the latest known contact is older than two thirds of the
+// limit, which leaves a third for the read.
+read_timing make_read_timing(duration limit)
+{
+    duration const max_age = limit * 2 / 3;
+    return {.watcher_count = 2,
+            .max_platform_age = max_age,
+            .interval_step = std::chrono::milliseconds{250},
+            .max_interval = max_age,
+            .first_watch_duration = limit / 2,
+            .other_watch_duration = limit * 3,
+            .retry_interval = std::chrono::milliseconds{120}};
 }
 
 std::size_t compute_reader_rank(fleet_part const& fleet, process_id self,
--- a/src/membership/readers.hpp
+++ b/src/membership/readers.hpp
@@ -27,6 +27,10 @@
     duration max_platform_age = std::chrono::seconds{20};
     duration interval_step = std::chrono::seconds{1};
 
+    // Bounds the interval of processes with a high rank: those with a lower one
+    // may have stopped.
+    duration max_interval = std::chrono::hours{24};
+
     // Longest wait of a watch. The first watcher's wait can be short, to detect
     // early that the platform is unreachable; the others are stand-bys.
     duration first_watch_duration = std::chrono::seconds{2};
@@ -48,6 +52,10 @@
 
 read_schedule make_read_schedule(std::size_t rank, read_timing const& timing);
 
+// Timing for changes that must be in force within `limit` although all other
+// processes may stop at any time.
+read_timing make_read_timing(duration limit);
+
 // ---- compute_reader_rank ------------------------------------------------
 
 // Returns the rank of `self` among the entries of its data centre. Targets, and
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -17,9 +17,7 @@
 constexpr std::uint32_t max_entry_descriptors = 256;
 
 // Timing for a platform with linearizable reads whose changes must be in force
-// within `limit`. Two entries watch the platform, so that updates still arrive
-// if one of them fails; the others read it themselves when they have received
-// no update for two thirds of the limit.
+// within `limit`.
 inline membership_timing make_membership_timing(duration limit)
 {
     return {.exchange_interval = std::chrono::milliseconds{500},
@@ -29,12 +27,7 @@
             .pause_threshold = std::chrono::milliseconds{1000},
             .first_read_delay = duration{},
             .catch_up_timeout = std::chrono::milliseconds{1000},
-            .reading = {.watcher_count = 2,
-                        .max_platform_age = limit * 2 / 3,
-                        .interval_step = std::chrono::milliseconds{250},
-                        .first_watch_duration = limit / 2,
-                        .other_watch_duration = limit * 3,
-                        .retry_interval = std::chrono::milliseconds{120}},
+            .reading = make_read_timing(limit),
             .is_platform_linearizable = true};
 }
 
