Search for owners among the targets of all services, trying unsure ones

Cause: a restarted target doesn't know the connections of its back end and has to try it. In a service that the route doesn't have any more such targets were passed over; with more than 16 services no other service was searched at all; and unsure targets beyond 16 trials in a service were passed over for good.

Evidence: the restarted entries log owner_lost with "asked":3, "silent":0 for the three targets of the former service, which own the connections. The new tests failed before: an_entry, tries_back_ends_of_the_service_that_a_route_had_before an_entry, searches_in_all_services_however_many_there_are an_entry, tries_each_back_end_once_and_few_with_one_packet

Change: one search with one list of candidates, each with its service: the preferred targets of the route's services, those of all others, then the rest. Trials are limited to 16 for one packet of the caller in all services together, and the search goes on with the next retransmission. The budget limits the cost.

Replaced: tries_no_back_end_of_a_service_that_a_route_had_before demanded the fault.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -210,15 +210,6 @@
     void search(effects_type& effects, connection_packet const& packet,
                 std::optional<peer_address> preferred,
                 std::optional<peer_address> returned_by, time_point now);
-    bool search_services(effects_type& effects, connection_packet const& packet,
-                         std::vector<service_id> const& services,
-                         std::optional<peer_address> preferred,
-                         std::optional<peer_address> returned_by,
-                         search_progress const& before, time_point now);
-    void search_next_service(effects_type& effects,
-                             connection_packet const& packet,
-                             service_id searched, search_progress const& before,
-                             placement_note const& note, time_point now);
     void resume_search(effects_type& effects, connection_packet const& packet,
                        peer_address returned_by, time_point now);
     void search_candidates(effects_type& effects,
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -56,55 +56,60 @@
     return services;
 }
 
-inline bool has_service(route_record const& route, service_id service)
-{
-    return std::any_of(route.services.begin(), route.services.end(),
-                       [service](weighted_service const& one) {
-                           return one.service == service;
-                       });
-}
-
-// Most services that are searched for the owner of a connection.
-constexpr std::size_t max_searched_services = 16;
-
 // Returns the services that may hold an open connection: those of its route,
 // then the others, because the route may have been given to another service
-// since the connection was opened. With many services only those of the route.
-inline std::vector<service_id>
-list_searched_services(catalog const& config, route_record const& route,
+// since the connection was opened.
+inline std::vector<service_part const*>
+list_searched_services(target_directory const& directory,
+                       route_record const& route,
                        connection_endpoints const& endpoints)
 {
-    std::vector<service_id> services = list_services(route, endpoints);
-    if (config.services().size() > max_searched_services)
-        return services;
-    for (auto const& [id, part] : config.services())
-        if (std::find(services.begin(), services.end(), id) == services.end())
-            services.push_back(id);
+    std::vector<service_id> ids = list_services(route, endpoints);
+    for (auto const& [id, part] : directory.services())
+        if (std::find(ids.begin(), ids.end(), id) == ids.end())
+            ids.push_back(id);
+    std::vector<service_part const*> services;
+    for (service_id const id : ids)
+        if (service_part const* part = directory.find(id))
+            services.push_back(part);
     return services;
 }
 
-// Returns the targets in ranking order, but `preferred` first and `returned_by`
-// last.
+// Returns the targets that may own a connection: the preferred ones of each
+// service, where nearly all owners are, then the others.
 inline std::vector<placement_candidate>
-make_candidates(std::vector<target_record const*> const& ranked,
-                std::optional<peer_address> preferred,
-                std::optional<peer_address> returned_by)
+list_owner_candidates(std::vector<service_part const*> const& services,
+                      flow_key flow)
+{
+    std::vector<placement_candidate> candidates;
+    std::vector<placement_candidate> others;
+    for (service_part const* part : services) {
+        std::vector<target_record const*> const ranked =
+            rank_owners(*part, flow);
+        for (std::size_t i = 0; i < ranked.size(); ++i) {
+            auto& list = i < default_preferred_count ? candidates : others;
+            list.push_back({ranked[i]->address, ranked[i]->slots, part->id});
+        }
+    }
+    candidates.insert(candidates.end(), others.begin(), others.end());
+    return candidates;
+}
+
+// Moves the target `preferred` to the front and `returned_by` to the end.
+inline void move_candidates(std::vector<placement_candidate>& candidates,
+                            std::optional<peer_address> preferred,
+                            std::optional<peer_address> returned_by)
 {
-    std::vector<placement_candidate> targets;
-    targets.reserve(ranked.size());
-    for (target_record const* target : ranked)
-        targets.push_back({target->address, target->slots});
     if (preferred)
-        std::stable_partition(targets.begin(), targets.end(),
+        std::stable_partition(candidates.begin(), candidates.end(),
                               [&](placement_candidate const& candidate) {
                                   return candidate.address == *preferred;
                               });
     if (returned_by)
-        std::stable_partition(targets.begin(), targets.end(),
+        std::stable_partition(candidates.begin(), candidates.end(),
                               [&](placement_candidate const& candidate) {
                                   return candidate.address != *returned_by;
                               });
-    return targets;
 }
 
 }  // namespace detail
@@ -310,9 +315,13 @@
         is_retransmission ? rank_owners(*part, make_flow_key(packet.endpoints))
                           : this->select_candidates(*part, packet.endpoints,
                                                     returned_by, now);
-    std::vector<placement_candidate> targets = detail::make_candidates(
-        ranked, is_retransmission ? std::optional{owner->target} : std::nullopt,
-        returned_by);
+    std::vector<placement_candidate> targets;
+    for (target_record const* target : ranked)
+        targets.push_back({target->address, target->slots, *service});
+    detail::move_candidates(targets,
+                            is_retransmission ? std::optional{owner->target}
+                                              : std::nullopt,
+                            returned_by);
     request_attributes const attributes{.route = route->address,
                                         .objective = route->objective,
                                         .deadline = route->deadline,
@@ -320,7 +329,6 @@
                                         .is_retryable = route->is_idempotent};
     this->start_placement(effects,
                           {packet,
-                           *service,
                            attributes,
                            std::move(targets),
                            is_retransmission,
@@ -347,7 +355,7 @@
                           : ranked;
 }
 
-// Searches for the owner of an open connection among the targets of the
+// Searches for the owner of an open connection among the targets of all
 // services that may hold it.
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::search(effects_type& effects,
@@ -362,67 +370,17 @@
         this->refuse_unknown_route(effects, packet, {now, now}, now);
         return;
     }
-    bool const has_candidates = this->search_services(
-        effects, packet,
-        detail::list_searched_services(this->config, *route, packet.endpoints),
-        preferred, returned_by, {}, now);
-    if (!has_candidates)
+    search_record search{};
+    search.remaining = detail::list_owner_candidates(
+        detail::list_searched_services(this->directory, *route,
+                                       packet.endpoints),
+        make_flow_key(packet.endpoints));
+    detail::move_candidates(search.remaining, preferred, returned_by);
+    if (search.remaining.empty())
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
-}
-
-// Searches in the first service that has targets. Returns whether there is one.
-template <random_source R, placement_policy P>
-bool connection_entry<R, P>::search_services(
-    effects_type& effects, connection_packet const& packet,
-    std::vector<service_id> const& services,
-    std::optional<peer_address> preferred,
-    std::optional<peer_address> returned_by, search_progress const& before,
-    time_point now)
-{
-    route_record const* route =
-        this->config.find_route(packet.endpoints.service);
-    for (service_id const service : services) {
-        service_part const* part = this->directory.find(service);
-        if (part == nullptr)
-            continue;
-        search_record search{};
-        search.service = service;
-        search.progress = {.query_count = before.query_count,
-                           .has_silent_target = before.has_silent_target,
-                           .started_at = before.started_at};
-        // Only targets that know the connection answer for another service: a
-        // trial would send its packets to back ends that never had it.
-        if (route == nullptr || !detail::has_service(*route, service))
-            search.progress.trial_count = this->settings.placement.max_trials;
-        search.remaining = detail::make_candidates(
-            rank_owners(*part, make_flow_key(packet.endpoints)), preferred,
-            returned_by);
+    else
         this->search_candidates(effects, packet, search, now);
-        return true;
-    }
-    return false;
-}
-
-// Continues with the service that follows `searched`, none of whose targets
-// owns the connection.
-template <random_source R, placement_policy P>
-void connection_entry<R, P>::search_next_service(
-    effects_type& effects, connection_packet const& packet, service_id searched,
-    search_progress const& before, placement_note const& note, time_point now)
-{
-    route_record const* route =
-        this->config.find_route(packet.endpoints.service);
-    std::vector<service_id> services;
-    if (route != nullptr)
-        services = detail::list_searched_services(this->config, *route,
-                                                  packet.endpoints);
-    auto const position = std::find(services.begin(), services.end(), searched);
-    services.erase(services.begin(),
-                   position == services.end() ? position : position + 1);
-    if (!this->search_services(effects, packet, services, std::nullopt,
-                               std::nullopt, before, now))
-        this->record_lost_owner(effects, before, note, now);
 }
 
 template <random_source R, placement_policy P>
@@ -433,7 +391,6 @@
 {
     placement_request request{};
     request.packet = packet;
-    request.service = search.service;
     request.candidates = search.remaining;
     request.arrived_at = now;
     request.requested_at = now;
@@ -454,11 +411,10 @@
     if (!previous)
         this->search(effects, packet, std::nullopt, returned_by, now);
     else if (previous->remaining.empty())
-        this->search_next_service(effects, packet, previous->service,
-                                  previous->progress,
-                                  this->make_note(placement_result::owner_lost,
-                                                  packet.endpoints, now, now),
-                                  now);
+        this->record_lost_owner(effects, previous->progress,
+                                this->make_note(placement_result::owner_lost,
+                                                packet.endpoints, now, now),
+                                now);
     else
         this->search_candidates(effects, packet, *previous, now);
 }
@@ -485,9 +441,9 @@
                                             placement_note const& note,
                                             time_point now)
 {
-    this->searches.put(failed.packet.endpoints,
-                       {search_state::suspended, failed.service,
-                        failed.remaining, failed.progress, now});
+    this->searches.put(
+        failed.packet.endpoints,
+        {search_state::suspended, failed.remaining, failed.progress, now});
     effects.push_back(note);
 }
 
@@ -574,9 +530,9 @@
             status_change_note{status_change::table_full, {}, {}});
     this->is_owner_table_full = !has_room;
     if (!is_opening)
-        this->searches.put(found.packet.endpoints,
-                           {search_state::found, found.service, found.remaining,
-                            found.progress, now});
+        this->searches.put(
+            found.packet.endpoints,
+            {search_state::found, found.remaining, found.progress, now});
     placement_note note = this->make_note(
         is_opening ? placement_result::placed : placement_result::owner_found,
         found.packet.endpoints, found.arrived_at, now);
@@ -611,8 +567,7 @@
     note.timeout_count = failed.timeout_count;
     // A target that was not queried yet may be the owner.
     if (failed.remaining.empty())
-        this->search_next_service(effects, failed.packet, failed.service,
-                                  failed.progress, note, now);
+        this->record_lost_owner(effects, failed.progress, note, now);
     else
         this->suspend_search(effects, failed, note, now);
 }
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -31,18 +31,18 @@
 // Progress of a search for an owner, kept when the search is resumed.
 struct search_progress
 {
-    std::uint32_t query_count = 0;     // in all services searched
-    std::uint32_t trial_count = 0;     // back ends tried by unsure targets
-    bool has_definite_denial = false;  // a target replied not_owner
-    bool has_silent_target = false;    // in a service searched to its end
-    time_point started_at = {};        // with the first of its targets
+    std::uint32_t query_count = 0;
+    std::uint32_t trial_count = 0;          // back ends tried
+    std::uint32_t earlier_trial_count = 0;  // of these, with earlier packets
+    bool has_definite_denial = false;       // a target replied not_owner
+    bool has_silent_target = false;
+    time_point started_at = {};
     auto operator<=>(search_progress const&) const = default;
 };
 
 struct placement_request
 {
     connection_packet packet = {};
-    service_id service = {};
     request_attributes attributes = {};
     std::vector<placement_candidate> candidates = {};  // best first
     bool is_retransmission = false;  // the first candidate has the packet
@@ -81,7 +81,6 @@
 struct placement_failed
 {
     connection_packet packet = {};
-    service_id service = {};
     bool is_refused = false;  // a target cannot serve the request in time
     std::uint32_t query_count = 0;
     std::uint32_t timeout_count = 0;  // of these
@@ -116,7 +115,8 @@
     std::size_t second_batch_end = default_preferred_count;
 
     // Each trial costs a back end a packet, and thousands of connections can
-    // be lost at once: trials are limited to twice the preferred targets.
+    // be lost at once: trials with one packet of the caller are limited to
+    // twice the preferred targets.
     std::uint32_t max_trials = 2 * default_preferred_count;
 
     // A search that meets this many silent targets stops until the caller
@@ -247,13 +247,16 @@
     find_least_loaded(placement_state const& record) const;
     std::vector<placement_candidate>
     list_remaining_candidates(placement_state const& record) const;
-    bool has_silent_candidate(placement_state const& record) const;
+    bool may_try_back_end(placement_state const& record) const;
+    bool has_candidate(placement_state const& record,
+                       candidate_state state) const;
     placement_outcome make_query(placement_state& record, std::size_t index,
                                  bool is_last_resort, time_point now);
     placement_failed make_failed(placement_state const& record,
                                  bool is_refused);
     placement_outcome make_found(placement_state const& record,
-                                 peer_address owner, offer_reply const& answer);
+                                 placement_candidate const& owner,
+                                 offer_reply const& answer);
     void update_hints(offer_reply const& answer, peer_address target,
                       target_hints& hints, time_point now) const;
     bool is_current(query_deadline const& deadline) const;
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -151,7 +151,7 @@
     for (std::size_t i = from; i < to && may_query; ++i)
         if (record.candidates[i].state == candidate_state::not_queried)
             return query_choice{i, false};
-    if (record.progress.trial_count >= this->limits.max_trials)
+    if (!this->may_try_back_end(record))
         return std::nullopt;
     for (std::size_t i = from; i < to; ++i)
         if (record.candidates[i].state == candidate_state::not_queried ||
@@ -194,19 +194,28 @@
         if (candidate.state == candidate_state::silent)
             silent.push_back(candidate.target);
         else if (candidate.state != candidate_state::excluded)
-            remaining.push_back(
-                {candidate.target.address, candidate.target.slots, is_unsure});
+            remaining.push_back({candidate.target.address,
+                                 candidate.target.slots,
+                                 candidate.target.service, is_unsure});
     }
     remaining.insert(remaining.end(), silent.begin(), silent.end());
     return remaining;
 }
 
 template <placement_policy P>
-bool placer<P>::has_silent_candidate(placement_state const& record) const
+bool placer<P>::may_try_back_end(placement_state const& record) const
+{
+    return record.progress.trial_count - record.progress.earlier_trial_count <
+           this->limits.max_trials;
+}
+
+template <placement_policy P>
+bool placer<P>::has_candidate(placement_state const& record,
+                              candidate_state state) const
 {
     return std::any_of(record.candidates.begin(), record.candidates.end(),
-                       [](candidate_record const& candidate) {
-                           return candidate.state == candidate_state::silent;
+                       [state](candidate_record const& candidate) {
+                           return candidate.state == state;
                        });
 }
 
@@ -228,13 +237,16 @@
 placement_outcome placer<P>::query_next(placement_state& record, time_point now)
 {
     std::optional<query_choice> const next = this->choose_next(record);
-    bool const is_cut_short = next && !this->may_query(record, now);
-    if (next && !is_cut_short)
+    if (next && this->may_query(record, now))
         return this->make_query(record, next->index, next->is_last_resort, now);
+    // An unsure target whose back end was not tried yet may be the owner.
+    bool const is_cut_short =
+        next || this->has_candidate(record, candidate_state::busy) ||
+        this->has_candidate(record, candidate_state::not_queried);
     placement_failed failed = this->make_failed(record, false);
     if (is_cut_short)
         failed.remaining = this->list_remaining_candidates(record);
-    else if (this->has_silent_candidate(record))
+    else if (this->has_candidate(record, candidate_state::silent))
         failed.progress.has_silent_target = true;
     this->placements.erase(record.request.packet.endpoints);
     return failed;
@@ -270,8 +282,9 @@
         attributes->age = now - request.requested_at;
     }
     return query_target{candidate.target.address,
-                        {record.query, request.service, candidate.target.slots,
-                         is_last_resort, attributes, request.packet.bytes}};
+                        {record.query, candidate.target.service,
+                         candidate.target.slots, is_last_resort, attributes,
+                         request.packet.bytes}};
 }
 
 // ---- outcomes -----------------------------------------------------------
@@ -281,7 +294,6 @@
                                         bool is_refused)
 {
     return placement_failed{record.request.packet,
-                            record.request.service,
                             is_refused,
                             record.query_count,
                             record.timeout_count,
@@ -293,12 +305,12 @@
 
 template <placement_policy P>
 placement_outcome placer<P>::make_found(placement_state const& record,
-                                        peer_address owner,
+                                        placement_candidate const& owner,
                                         offer_reply const& answer)
 {
     return owner_found{record.request.packet,
-                       record.request.service,
-                       owner,
+                       owner.service,
+                       owner.address,
                        answer.verdict,
                        answer.load,
                        record.query_count,
@@ -369,7 +381,7 @@
     candidate.state = candidate_state::excluded;
     if (detail::is_owner_verdict(answer.verdict)) {
         placement_outcomes const outcomes{
-            this->make_found(record, query.target, answer)};
+            this->make_found(record, candidate.target, answer)};
         this->placements.erase(query.endpoints);
         return outcomes;
     }
@@ -390,7 +402,7 @@
         if (record.request.packet.is_opening)
             hints.record_placement(candidate.target.address);
         placement_outcome const found_outcome =
-            this->make_found(record, candidate.target.address, answer);
+            this->make_found(record, candidate.target, answer);
         this->placements.erase(record.request.packet.endpoints);
         return found_outcome;
     }
--- a/src/placement/policies.hpp
+++ b/src/placement/policies.hpp
@@ -25,6 +25,7 @@
 {
     peer_address address = {};
     std::uint32_t slots = 0;
+    service_id service = {};
     bool is_unsure = false;  // replied so earlier in this search
     auto operator<=>(placement_candidate const&) const = default;
 };
--- a/src/placement/search_table.cpp
+++ b/src/placement/search_table.cpp
@@ -54,9 +54,12 @@
 search_table::take_suspended(connection_endpoints const& endpoints,
                              time_point now)
 {
-    std::optional<search_record> const search =
+    std::optional<search_record> search =
         this->take(endpoints, search_state::suspended, now);
-    return search && !search->remaining.empty() ? search : std::nullopt;
+    if (!search || search->remaining.empty())
+        return std::nullopt;
+    search->progress.earlier_trial_count = search->progress.trial_count;
+    return search;
 }
 
 std::optional<search_record>
--- a/src/placement/search_table.hpp
+++ b/src/placement/search_table.hpp
@@ -28,7 +28,6 @@
 struct search_record
 {
     search_state state = search_state::found;
-    service_id service = {};
     std::vector<placement_candidate> remaining = {};  // to be queried
     search_progress progress = {};
     time_point updated_at = {};
--- a/src/placement/target_directory.cpp
+++ b/src/placement/target_directory.cpp
@@ -31,6 +31,11 @@
     return found == this->merged.end() ? nullptr : &found->second;
 }
 
+std::map<service_id, service_part> const& target_directory::services() const
+{
+    return this->merged;
+}
+
 std::size_t target_directory::unlisted_count() const
 {
     std::size_t count = 0;
--- a/src/placement/target_directory.hpp
+++ b/src/placement/target_directory.hpp
@@ -47,6 +47,9 @@
     // Returns the targets of a service, or null if it has none.
     service_part const* find(service_id id) const;
 
+    // All services that have targets.
+    std::map<service_id, service_part> const& services() const;
+
     // Number of unlisted targets still in use.
     std::size_t unlisted_count() const;
 
