Leave out keys of services that don't exist; compare back ends with their ports

What callers saw: another application registered itself at a target's VM, with a service that no configuration has and a port of its own.

Cause: a back end's address loses its port when it is replaced by that of the target process, and of two keys with one address the later one was kept, whatever its service. That rule is for keys of dead back ends at addresses in use again.

Evidence: the catalog of the entries holds one target less from the odd key on; no log line named it.

Keys replace each other only at one address and port. An entry no longer avoids an address because another service was refused there.

--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -81,22 +81,42 @@
     *this = published_catalog{};
 }
 
+// Other applications may publish targets of services that don't exist. Such a
+// target must not be used, and must not replace another one.
+bool published_catalog::is_ignored(published_target const& target) const
+{
+    return !this->services.empty() &&
+           !this->services.contains(make_service_id(target.service));
+}
+
+std::set<std::string> published_catalog::list_ignored_keys() const
+{
+    std::set<std::string> keys;
+    for (auto const& [key, target] : this->targets)
+        if (this->is_ignored(target))
+            keys.insert(key);
+    return keys;
+}
+
 // Builds the service parts from the keys. After a power failure, keys of dead
-// targets can remain for a while at addresses that new targets already use. Of
-// two targets at one address, the one whose key was created later is kept.
+// back ends can remain for a while at addresses that new ones already use. Of
+// two keys with one back end's address, the one created later is kept. Keys
+// with different ports of one VM are different back ends.
 std::map<service_id, service_part>
 published_catalog::build_parts(generation at_revision) const
 {
     std::map<peer_address, std::string> newest;
     for (auto const& [key, target] : this->targets) {
-        auto const [at, is_first] = newest.emplace(target.address, key);
+        if (this->is_ignored(target))
+            continue;
+        auto const [at, is_first] = newest.emplace(target.back_end, key);
         if (!is_first &&
             this->targets.at(at->second).created_at < target.created_at)
             at->second = key;
     }
     std::map<service_id, service_part> built;
     for (auto const& [key, target] : this->targets) {
-        if (newest.at(target.address) != key)
+        if (this->is_ignored(target) || newest.at(target.back_end) != key)
             continue;
         service_id const id = make_service_id(target.service);
         service_part& part = built[id];
@@ -157,6 +177,9 @@
     if (update.version <= this->routes_version)
         return;
     this->routes_version = update.version;
+    this->services.clear();
+    for (std::string const& name : update.services)
+        this->services.insert(make_service_id(name));
     routes_part const next{change.to, sort_routes(update.routes),
                            update.idle_lifetime};
     if (change.base != generation{})
@@ -171,9 +194,9 @@
     change.base = base;
     change.to = update.revision;
     this->revision = std::max(this->revision, update.revision);
-    this->replace_parts(change);
     if (update.routes)
         this->replace_routes(*update.routes, change);
+    this->replace_parts(change);
     if (base == generation{})
         change.routes = this->routes;
     std::uint64_t sum = compute_digest(fleet_part{}).value;
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,7 @@
 {
     std::string service = {};
     std::string data_centre = {};
+    peer_address back_end = {};     // as published
     peer_address address = {};      // receives packets from entries
     std::uint32_t slots = 1;        // concurrent requests
     std::uint64_t incarnation = 0;  // differs after each restart
@@ -47,6 +49,7 @@
     std::uint64_t version = 0;  // set by the operator; only increases
     std::vector<route_record> routes = {};
     duration idle_lifetime = {};
+    std::vector<std::string> services = {};  // that exist; empty: unknown
     auto operator<=>(published_routes const&) const = default;
 };
 
@@ -84,10 +87,15 @@
     // Returns the known revision, from which the next incremental read starts.
     generation current_revision() const;
 
+    // Returns the keys of targets that are left out because their services
+    // don't exist.
+    std::set<std::string> list_ignored_keys() const;
+
     // Discards all state; the next update must be a snapshot.
     void reset();
 
 private:
+    bool is_ignored(published_target const& target) const;
     std::map<service_id, service_part>
     build_parts(generation at_revision) const;
     catalog_change build_change(published_update const& update,
@@ -97,6 +105,7 @@
 
     generation revision = {};
     std::uint64_t routes_version = 0;
+    std::set<service_id> services = {};  // that exist; empty: unknown
     std::map<std::string, published_target> targets = {};
     std::map<service_id, service_part> parts = {};
     routes_part routes = {};
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -316,6 +316,7 @@
                           : this->select_candidates(*part, packet.endpoints,
                                                     returned_by, now);
     std::vector<placement_candidate> targets;
+    targets.reserve(ranked.size());
     for (target_record const* target : ranked)
         targets.push_back({target->address, target->slots, *service});
     detail::move_candidates(targets,
@@ -620,7 +621,10 @@
         this->refuse(effects, packet, times.requested_at, now);
         return;
     }
-    if (event.answer.verdict != offer_verdict::not_owner)
+    bool const is_unusable =
+        event.answer.verdict != offer_verdict::not_owner &&
+        event.answer.verdict != offer_verdict::wrong_service;
+    if (is_unusable)
         this->hints.avoid(event.from, detail::unusable_avoidance, now);
     placement_note note = this->make_note(
         placement_result::returned, packet.endpoints, times.arrived_at, now);
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -322,14 +322,15 @@
                        record.progress};
 }
 
+// The target of another service may have the same address, so wrong_service says
+// nothing about the address.
 template <placement_policy P>
 void placer<P>::update_hints(offer_reply const& answer, peer_address target,
                              target_hints& hints, time_point now) const
 {
     hints.record_load(target, answer.load, answer.slots, now);
     bool const is_unusable = answer.verdict == offer_verdict::no_answer ||
-                             answer.verdict == offer_verdict::leaving ||
-                             answer.verdict == offer_verdict::wrong_service;
+                             answer.verdict == offer_verdict::leaving;
     if (is_unusable)
         hints.avoid(target, detail::unusable_avoidance, now);
 }
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -1253,6 +1253,7 @@
                 published_target{node.service,
                                  "z" + std::to_string(node.data_centre),
                                  node.address,
+                                 node.address,
                                  node.traits.slots,
                                  node.back_end.incarnation,
                                  {node.back_end.incarnation},
--- a/tests/stories/codec_story.cpp
+++ b/tests/stories/codec_story.cpp
@@ -112,7 +112,8 @@
 TEST(codec, decodes_updates_with_target_keys_of_any_length)
 {
     for (std::size_t size = 1; size <= 2 * max_name_size; ++size) {
-        published_target const target{"members", "zg-a", {1, 2}, 2, ~0ULL, {3}};
+        published_target const target{"members", "zg-a", {1, 3}, {1, 2},
+                                      2,         ~0ULL,  {3}};
         published_catalog published;
         std::optional<catalog_change> const change = published.apply(
             {{7}, true, {{std::string(size, 'x'), target}}, {}}, {});
--- a/tests/stories/membership_story.cpp
+++ b/tests/stories/membership_story.cpp
@@ -82,7 +82,7 @@
             }
     }
 
-    void run(duration length, std::uint64_t peer_count = 0)
+    void run_for(duration length, std::uint64_t peer_count = 0)
     {
         for (time_point const end = this->now + length; this->now < end;) {
             for (std::uint64_t peer = 0; peer < peer_count; ++peer)
@@ -104,7 +104,7 @@
 {
     for (std::uint64_t id = 1; id <= 20; ++id) {
         this->start(id, 3s);
-        this->run(30s);
+        this->run_for(30s);
         CHECK(this->longest_gap <= 250ms + tick_interval);
     }
 }
@@ -119,10 +119,10 @@
         for (std::uint64_t const peer_count : {1, 6, 24, 90})
             for (std::uint64_t id = 1; id <= 10; ++id) {
                 this->start(id, limit);
-                this->run(5s, peer_count);
+                this->run_for(5s, peer_count);
                 this->covered_until = this->now;
                 this->longest_gap = {};
-                this->run(30s);
+                this->run_for(30s);
                 CHECK(this->longest_gap < limit);
             }
 }
@@ -130,9 +130,9 @@
 TEST(a_process_whose_peers_stop, watches_once_their_ranks_have_expired)
 {
     this->start(1, 3s);
-    this->run(5s, 90);
-    this->run(peer_timeout + 3s);
+    this->run_for(5s, 90);
+    this->run_for(peer_timeout + 3s);
     this->longest_gap = {};
-    this->run(30s);
+    this->run_for(30s);
     CHECK(this->longest_gap <= 250ms + tick_interval);
 }
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -503,6 +503,15 @@
 
 SECTION(placing_by_hints, a_placer){};
 
+// A key with another service at the same VM kept connections from its target.
+TEST(placing_by_hints, uses_an_address_that_another_service_was_refused_at)
+{
+    this->start(true);
+    this->answer(offer_verdict::wrong_service);
+    CHECK(this->find_queried_target() == second);
+    CHECK(!this->hints.is_avoided(first, this->now));
+}
+
 TEST(placing_by_hints, queries_targets_with_a_reported_free_slot_first)
 {
     this->hints.record_load(first, 2, 2, this->now);
