Look for a service among those of the route only

The list of searched services compared each service with all before it: 24 million comparisons for a search among 6,900 services. No change of behaviour.

--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -64,14 +64,14 @@
                        route_record const& route,
                        connection_endpoints const& endpoints)
 {
-    std::vector<service_id> ids = list_services(route, endpoints);
-    for (auto const& [id, part] : directory.services())
-        if (std::find(ids.begin(), ids.end(), id) == ids.end())
-            ids.push_back(id);
+    std::vector<service_id> const own = list_services(route, endpoints);
     std::vector<service_part const*> services;
-    for (service_id const id : ids)
+    for (service_id const id : own)
         if (service_part const* part = directory.find(id))
             services.push_back(part);
+    for (auto const& [id, part] : directory.services())
+        if (std::find(own.begin(), own.end(), id) == own.end())
+            services.push_back(&part);
     return services;
 }
 
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -105,7 +105,7 @@
     std::size_t max_placements = 4096;    // concurrent placements
     std::size_t max_pending_packets = 8;  // kept for each placement
 
-    // Ends of the first two batches of a search, as positions in the ranking.
+    // Ends of the first two batches of a search, as positions in its list.
     // Owners are nearly always in the first batch. The unsure targets of a
     // batch try their back ends before the next batch is queried. If every
     // target of the first two is unsure, all have just started, and so have the
