Carry evacuations, warm-up limits and start times in the catalog

Cause: nothing in the catalog can say that a data centre is evacuated, how fast a cold back end may be given connections, or when it started. Change: an evacuations part, warm-up limits and the operator's version beside the routes, the published start of each back end, and messages between entries and targets about evacuations and open connections, with their codec. Catalogs without these keep their digests, except for the version and the start times, which the platform publishes. Compiled; no test run yet: nothing uses the new fields so far.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -26,7 +26,9 @@
     seed = hash_address(seed, target.address);
     seed = hash_address(seed, target.control);
     seed = hash_pair(target.slots, seed);
-    return hash_pair(static_cast<std::uint64_t>(target.state), seed);
+    seed = hash_pair(static_cast<std::uint64_t>(target.state), seed);
+    return target.started_at_ms == 0 ? seed
+                                     : hash_pair(target.started_at_ms, seed);
 }
 
 std::uint64_t hash_name(service_id service, std::string const& name)
@@ -64,6 +66,25 @@
                            1);
 }
 
+std::uint64_t hash_warm_up_limit(warm_up_limit const& limit)
+{
+    std::uint64_t const seed =
+        hash_pair(static_cast<std::uint64_t>(limit.warm_up_time.count()),
+                  limit.service.value);
+    return hash_pair(limit.opens_per_second, seed);
+}
+
+// Hash of what a part or a delta holds beside the routes.
+template <class Part> std::uint64_t hash_route_settings(Part const& part)
+{
+    std::uint64_t sum = hash_lifetime(part.idle_lifetime);
+    if (part.version != 0)
+        sum += hash_pair(part.version, 2);
+    for (warm_up_limit const& limit : part.warm_up_limits)
+        sum += hash_warm_up_limit(limit);
+    return sum;
+}
+
 // Linear search: the targets of a part that was received as a whole keep the
 // order of the document and aren't sorted by id.
 auto find_position(std::vector<target_record>& targets, target_id id)
@@ -119,8 +140,7 @@
 std::uint64_t compute_digest_gain(routes_part const& old,
                                   routes_delta const& delta)
 {
-    std::uint64_t gain =
-        hash_lifetime(delta.idle_lifetime) - hash_lifetime(old.idle_lifetime);
+    std::uint64_t gain = hash_route_settings(delta) - hash_route_settings(old);
     auto const remove_old = [&](peer_address address) {
         if (route_record const* previous = find_route_record(old, address))
             gain -= hash_route(*previous);
@@ -158,6 +178,8 @@
 void merge(routes_delta& into, routes_delta const& later)
 {
     into.idle_lifetime = later.idle_lifetime;
+    into.version = later.version;
+    into.warm_up_limits = later.warm_up_limits;
     auto const remove = [&into](peer_address address) {
         std::erase_if(into.changed, [address](route_record const& one) {
             return one.address == address;
@@ -203,12 +225,21 @@
 
 digest compute_digest(routes_part const& part)
 {
-    std::uint64_t sum = hash_lifetime(part.idle_lifetime);
+    std::uint64_t sum = hash_route_settings(part);
     for (route_record const& route : part.routes)
         sum += hash_route(route);
     return {sum};
 }
 
+digest compute_digest(evacuations_part const& part)
+{
+    constexpr std::uint64_t seed = 3;
+    std::uint64_t sum = 0;
+    for (std::string const& data_centre : part.data_centres)
+        sum += hash_text(seed, data_centre);
+    return {sum};
+}
+
 bool is_delta_only(catalog_change const& change)
 {
     return change.base != generation{} && change.parts.empty() &&
@@ -250,6 +281,10 @@
     }
     if (change.route_delta)
         sum += compute_digest_gain(from.routes, *change.route_delta);
+    if (change.evacuations && !is_full)
+        sum -= compute_digest(from.evacuations).value;
+    if (change.evacuations)
+        sum += compute_digest(*change.evacuations).value;
     return {sum};
 }
 
@@ -275,6 +310,8 @@
         this->current.fleet = *change.fleet;
     if (change.routes)
         this->current.routes = *change.routes;
+    if (change.evacuations)
+        this->current.evacuations = *change.evacuations;
     for (service_delta const& delta : change.deltas)
         this->apply(delta, change.to);
     if (change.route_delta)
@@ -312,6 +349,8 @@
     routes_part& part = this->current.routes;
     part.changed_at = to;
     part.idle_lifetime = delta.idle_lifetime;
+    part.version = delta.version;
+    part.warm_up_limits = delta.warm_up_limits;
     auto const remove_old = [&part](peer_address address) {
         std::erase_if(part.routes, [address](route_record const& one) {
             return one.address == address;
@@ -441,6 +480,18 @@
     return this->current.routes;
 }
 
+evacuations_part const& catalog::evacuations() const
+{
+    return this->current.evacuations;
+}
+
+bool catalog::is_evacuated(std::string const& data_centre) const
+{
+    std::vector<std::string> const& all =
+        this->current.evacuations.data_centres;
+    return std::binary_search(all.begin(), all.end(), data_centre);
+}
+
 route_record const* catalog::find_route(peer_address address) const
 {
     std::vector<route_record> const& all = this->current.routes.routes;
@@ -489,6 +540,8 @@
             else
                 merge(*known, delta);
         }
+        if (one.evacuations)
+            all.evacuations = one.evacuations;
         if (!one.route_delta)
             continue;
         if (!all.route_delta)
@@ -513,14 +566,17 @@
                                    ? this->current.fleet != fleet_part{}
                                    : this->current.fleet.changed_at > base;
     bool const has_new_routes = this->current.routes.changed_at > base;
-    return {base,
-            this->current.version.number,
-            this->current.version.content,
-            parts,
-            removed,
-            has_new_fleet ? std::optional{this->current.fleet} : std::nullopt,
-            has_new_routes ? std::optional{this->current.routes}
-                           : std::nullopt};
+    catalog_change change{
+        base,
+        this->current.version.number,
+        this->current.version.content,
+        parts,
+        removed,
+        has_new_fleet ? std::optional{this->current.fleet} : std::nullopt,
+        has_new_routes ? std::optional{this->current.routes} : std::nullopt};
+    if (this->current.evacuations.changed_at > base)
+        change.evacuations = this->current.evacuations;
+    return change;
 }
 
 }  // namespace lagoon
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -2,11 +2,11 @@
 // use it, the entries and the routes. Operators publish it; the load balancer
 // only reads it.
 //
-// The catalog consists of parts (one per service, the fleet, the routes) that
-// are published and transferred separately.
+// The catalog consists of parts (one per service, the fleet, the routes, the
+// evacuations) that are published and transferred separately.
 //
 // Index
-//   records   targets, entries, services and routes as published
+//   records   targets, entries, services, routes and evacuations as published
 //   changes   difference between a catalog and a later generation of it
 //   catalog   aggregate: adopts newer generations, answers look-ups
 #pragma once
@@ -44,6 +44,9 @@
     peer_address control = {};  // TCP, for JSON-RPC
     std::uint32_t slots = 1;    // concurrent requests
     target_state state = target_state::serving;
+
+    // Start of the back end as published, in Unix milliseconds; 0: unknown.
+    std::uint64_t started_at_ms = 0;
     auto operator<=>(target_record const&) const = default;
 };
 
@@ -93,19 +96,39 @@
     auto operator<=>(route_record const&) const = default;
 };
 
+// Limit on new connections to a back end that has just started.
+struct warm_up_limit
+{
+    service_id service = {};
+    duration warm_up_time = {};          // how long a back end takes to warm up
+    std::uint32_t opens_per_second = 0;  // meanwhile; 0: unlimited
+    auto operator<=>(warm_up_limit const&) const = default;
+};
+
 struct routes_part
 {
     generation changed_at = {};
     std::vector<route_record> routes = {};  // sorted by address
     duration idle_lifetime = {};            // of idle connections; 0: unlimited
+    std::uint64_t version = 0;  // set by the operator; only increases
+    std::vector<warm_up_limit> warm_up_limits = {};  // sorted by service
     auto operator<=>(routes_part const&) const = default;
 };
 
+// Data centres that get no new connections; open ones stay.
+struct evacuations_part
+{
+    generation changed_at = {};
+    std::vector<std::string> data_centres = {};  // sorted
+    auto operator<=>(evacuations_part const&) const = default;
+};
+
 // The digest is a sum over the records, so it can be updated for a changed
 // record without hashing the others.
 digest compute_digest(service_part const& part);
 digest compute_digest(fleet_part const& part);
 digest compute_digest(routes_part const& part);
+digest compute_digest(evacuations_part const& part);  // 0 without evacuations
 
 // ---- changes ------------------------------------------------------------
 
@@ -123,7 +146,11 @@
 {
     std::vector<route_record> changed = {};
     std::vector<peer_address> removed = {};
-    duration idle_lifetime = {};  // value after the change
+
+    // Values after the change.
+    duration idle_lifetime = {};
+    std::uint64_t version = 0;
+    std::vector<warm_up_limit> warm_up_limits = {};
     auto operator<=>(routes_delta const&) const = default;
 };
 
@@ -140,10 +167,12 @@
     std::optional<routes_part> routes = {};
     std::vector<service_delta> deltas = {};
     std::optional<routes_delta> route_delta = {};
+    std::optional<evacuations_part> evacuations = {};  // whole, if changed
     bool operator==(catalog_change const&) const = default;
 };
 
-// Returns whether the change consists of deltas and removed services only. The
+// Returns whether the change consists of deltas, removed services and
+// evacuations only. The
 // size of such a change doesn't depend on the size of the catalog.
 bool is_delta_only(catalog_change const& change);
 
@@ -180,6 +209,8 @@
                                            target_id id) const;
     fleet_part const& fleet() const;
     routes_part const& routes() const;
+    evacuations_part const& evacuations() const;
+    bool is_evacuated(std::string const& data_centre) const;
 
     // Returns the route of an address, or null.
     route_record const* find_route(peer_address address) const;
@@ -196,6 +227,7 @@
         std::map<service_id, generation> removed = {};  // tombstones
         fleet_part fleet = {};
         routes_part routes = {};
+        evacuations_part evacuations = {};
         catalog_version version = {};
     };
 
--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -22,8 +22,9 @@
     // A restarted target keeps its key but is a different target.
     std::string const name =
         limit_name(key + "@" + std::to_string(from.incarnation));
-    return {make_target_id(name), name,       from.data_centre, from.address,
-            from.address,         from.slots, from.state};
+    return {
+        make_target_id(name), name,       from.data_centre, from.address,
+        from.address,         from.slots, from.state,       from.incarnation};
 }
 
 std::vector<route_record> sort_routes(std::vector<route_record> routes)
@@ -53,7 +54,8 @@
 
 routes_delta compute_delta(routes_part const& old, routes_part const& next)
 {
-    routes_delta delta{{}, {}, next.idle_lifetime};
+    routes_delta delta{
+        {}, {}, next.idle_lifetime, next.version, next.warm_up_limits};
     std::set_difference(next.routes.begin(), next.routes.end(),
                         old.routes.begin(), old.routes.end(),
                         std::back_inserter(delta.changed));
@@ -180,13 +182,38 @@
     this->services.clear();
     for (std::string const& name : update.services)
         this->services.insert(make_service_id(name));
-    routes_part const next{change.to, sort_routes(update.routes),
-                           update.idle_lifetime};
+    routes_part next{change.to, sort_routes(update.routes),
+                     update.idle_lifetime, update.version,
+                     update.warm_up_limits};
+    std::sort(next.warm_up_limits.begin(), next.warm_up_limits.end());
     if (change.base != generation{})
         change.route_delta = detail::compute_delta(this->routes, next);
     this->routes = next;
 }
 
+void published_catalog::replace_evacuations(published_update const& update,
+                                            catalog_change& change)
+{
+    std::set<std::string> requested;
+    if (!update.is_snapshot)
+        requested.insert(this->evacuations.data_centres.begin(),
+                         this->evacuations.data_centres.end());
+    for (evacuation_change const& one : update.evacuations) {
+        if (one.is_requested)
+            requested.insert(one.data_centre);
+        else
+            requested.erase(one.data_centre);
+    }
+    std::vector<std::string> const next{requested.begin(), requested.end()};
+    if (next != this->evacuations.data_centres) {
+        this->evacuations = {change.to, next};
+        change.evacuations = this->evacuations;
+    }
+    bool const is_full = change.base == generation{};
+    if (is_full && this->evacuations != evacuations_part{})
+        change.evacuations = this->evacuations;
+}
+
 catalog_change published_catalog::build_change(published_update const& update,
                                                generation base)
 {
@@ -197,12 +224,14 @@
     if (update.routes)
         this->replace_routes(*update.routes, change);
     this->replace_parts(change);
+    this->replace_evacuations(update, change);
     if (base == generation{})
         change.routes = this->routes;
     std::uint64_t sum = compute_digest(fleet_part{}).value;
     for (auto const& [id, part] : this->parts)
         sum += compute_digest(part).value;
     sum += compute_digest(this->routes).value;
+    sum += compute_digest(this->evacuations).value;
     change.result_digest = {sum};
     return change;
 }
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -24,11 +24,12 @@
 {
     std::string service = {};
     std::string data_centre = {};
-    peer_address back_end = {};     // as published
-    peer_address address = {};      // receives packets from entries
-    std::uint32_t slots = 1;        // concurrent requests
-    std::uint64_t incarnation = 0;  // differs after each restart
-    generation created_at = {};     // revision that created the key
+    peer_address back_end = {};  // as published
+    peer_address address = {};   // receives packets from entries
+    std::uint32_t slots = 1;     // concurrent requests
+    std::uint64_t incarnation =
+        0;                       // start of the back end, Unix ms; 0: unknown
+    generation created_at = {};  // revision that created the key
     target_state state = target_state::serving;
     auto operator<=>(published_target const&) const = default;
 };
@@ -50,15 +51,25 @@
     std::vector<route_record> routes = {};
     duration idle_lifetime = {};
     std::vector<std::string> services = {};  // that exist; empty: unknown
+    std::vector<warm_up_limit> warm_up_limits = {};
     auto operator<=>(published_routes const&) const = default;
 };
 
+// A changed request of the operator to evacuate a data centre.
+struct evacuation_change
+{
+    std::string data_centre = {};
+    bool is_requested = false;  // false: the request was removed
+    auto operator<=>(evacuation_change const&) const = default;
+};
+
 struct published_update
 {
     generation revision = {};  // revision of the store
     bool is_snapshot = false;  // holds all keys, not only changed ones
     std::vector<key_change> keys = {};
     std::optional<published_routes> routes = {};
+    std::vector<evacuation_change> evacuations = {};
     auto operator<=>(published_update const&) const = default;
 };
 
@@ -102,6 +113,8 @@
                                 generation base);
     void replace_parts(catalog_change& change);
     void replace_routes(published_routes const& update, catalog_change& change);
+    void replace_evacuations(published_update const& update,
+                             catalog_change& change);
 
     generation revision = {};
     std::uint64_t routes_version = 0;
@@ -109,6 +122,7 @@
     std::map<std::string, published_target> targets = {};
     std::map<service_id, service_part> parts = {};
     routes_part routes = {};
+    evacuations_part evacuations = {};
 };
 
 }  // namespace lagoon
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -5,16 +5,23 @@
 // a query id it replies only if it can't use the packet; the reply then
 // contains the packet.
 //
+// Entries also tell targets of evacuations, and ask them about many open
+// connections at once.
+//
 // Index
 //   request_attributes   latency objective, deadline and priority of a route
 //   packet_offer         from an entry to a target
 //   offer_reply          from a target to an entry
+//   evacuation_notice    from an entry to a target
+//   locate_query         from an entry to a target: which connections it owns
+//   locate_reply         from a target to an entry
 #pragma once
 
 #include "connection/packet.hpp"
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace lagoon {
 
@@ -28,6 +35,11 @@
     std::uint8_t priority = 0;  // 0 is the most urgent
     duration age = {};          // since the caller's first known attempt
     bool is_retryable = true;   // callers retry failed requests of the route
+
+    // Limit on opening packets to a back end that is still cold; 0: none.
+    std::uint32_t opens_per_second = 0;
+
+    generation config_generation = {};  // of the entry's catalog
     auto operator<=>(request_attributes const&) const = default;
 };
 
@@ -82,6 +94,56 @@
     auto operator<=>(offer_reply const&) const = default;
 };
 
+// ---- evacuation_notice --------------------------------------------------
+
+// The data centre of the target is to get no new connections, according to the
+// entry's catalog.
+struct evacuation_notice
+{
+    service_id service = {};  // of the target
+    generation config_generation = {};
+    auto operator<=>(evacuation_notice const&) const = default;
+};
+
+// ---- locate_query -------------------------------------------------------
+
+struct located_connection
+{
+    connection_endpoints endpoints = {};
+    std::uint32_t acknowledgement = 0;  // in the caller's latest packet
+    auto operator<=>(located_connection const&) const = default;
+};
+
+constexpr std::size_t max_located_connections = 64;  // in one query
+
+struct locate_query
+{
+    query_id query = {};
+    service_id service = {};  // of the target
+
+    // Start of the target's back end as published, and the entry's time of
+    // day, in Unix milliseconds; 0: unknown.
+    std::uint64_t back_end_started_at_ms = 0;
+    std::uint64_t sent_at_ms = 0;
+
+    std::vector<located_connection> connections = {};
+    auto operator<=>(locate_query const&) const = default;
+};
+
+enum class locate_verdict : std::uint8_t
+{
+    denied,  // the back end doesn't hold the connection
+    held,    // the target owns the connection
+    unsure   // not in the table, but the back end may hold it
+};
+
+struct locate_reply
+{
+    query_id query = {};
+    std::vector<locate_verdict> verdicts = {};  // in the order of the query
+    auto operator<=>(locate_reply const&) const = default;
+};
+
 char const* to_text(offer_verdict value);
 
 }  // namespace lagoon
--- a/src/wire/codec.cpp
+++ b/src/wire/codec.cpp
@@ -307,6 +307,12 @@
         return datagram{read_offer(in)};
     if (kind == packet_kind::offer_reply)
         return datagram{read_offer_reply(in)};
+    if (kind == packet_kind::evacuation_notice)
+        return datagram{read_evacuation_notice(in)};
+    if (kind == packet_kind::locate_query)
+        return datagram{read_locate_query(in)};
+    if (kind == packet_kind::locate_reply)
+        return datagram{read_locate_reply(in)};
     if (kind == packet_kind::inbound) {
         std::optional<inbound_packet> const packet = read_inbound(in);
         return packet ? std::optional<datagram>{*packet} : std::nullopt;
@@ -411,6 +417,21 @@
     return encode(answer);
 }
 
+std::string encode_packet(evacuation_notice const& notice)
+{
+    return encode(notice);
+}
+
+std::string encode_packet(locate_query const& query)
+{
+    return encode(query);
+}
+
+std::string encode_packet(locate_reply const& reply)
+{
+    return encode(reply);
+}
+
 std::vector<std::string> split_into_datagrams(std::string const& packet,
                                               std::uint32_t number)
 {
--- a/src/wire/codec.hpp
+++ b/src/wire/codec.hpp
@@ -26,7 +26,8 @@
 using datagram =
     std::variant<caller_message, answer_message, inbound_packet,
                  outbound_packet, peer_digest, peer_update, change_request,
-                 message_fragment, packet_offer, offer_reply>;
+                 message_fragment, packet_offer, offer_reply, evacuation_notice,
+                 locate_query, locate_reply>;
 
 // ---- encode_packet ------------------------------------------------------
 
@@ -40,6 +41,9 @@
 std::string encode_packet(message_fragment const& fragment);
 std::string encode_packet(packet_offer const& offer);
 std::string encode_packet(offer_reply const& answer);
+std::string encode_packet(evacuation_notice const& notice);
+std::string encode_packet(locate_query const& query);
+std::string encode_packet(locate_reply const& reply);
 
 // Returns the datagrams that transport an encoded message: the message itself,
 // or its fragments when it doesn't fit into one. `number` identifies the
--- a/src/wire/fields.hpp
+++ b/src/wire/fields.hpp
@@ -45,7 +45,10 @@
     change_request = 50,
     fragment = 51,
     offer = 64,
-    offer_reply = 65
+    offer_reply = 65,
+    evacuation_notice = 66,
+    locate_query = 67,
+    locate_reply = 68
 };
 
 constexpr std::size_t packed_address_size = 6;  // bytes: IP and port
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -1,5 +1,7 @@
 #include "wire/peer_codec.hpp"
 
+#include <algorithm>
+
 namespace lagoon::detail {
 
 // ---- writing ------------------------------------------------------------
@@ -18,12 +20,31 @@
     out.put_list(part.targets);
 }
 
-void write(packet_writer& out, routes_part const& part)
+void write(packet_writer& out, warm_up_limit const& limit)
 {
     out.put_array_header(3);
+    out.put(limit.service.value);
+    out.put(limit.warm_up_time);
+    out.put(std::uint64_t{limit.opens_per_second});
+}
+
+void write(packet_writer& out, routes_part const& part)
+{
+    out.put_array_header(5);
     out.put(part.changed_at.value);
     out.put_list(part.routes);
     out.put(part.idle_lifetime);
+    out.put(part.version);
+    out.put_list(part.warm_up_limits);
+}
+
+void write(packet_writer& out, evacuations_part const& part)
+{
+    out.put_array_header(
+        static_cast<std::uint32_t>(1 + part.data_centres.size()));
+    out.put(part.changed_at.value);
+    for (std::string const& data_centre : part.data_centres)
+        out.put(std::string_view{data_centre});
 }
 
 void write(packet_writer& out, service_id id)
@@ -46,21 +67,24 @@
 
 void write(packet_writer& out, target_record const& target)
 {
-    out.put_array_header(8);
+    out.put_array_header(9);
     out.put(std::string_view{target.name});
     out.put(std::string_view{target.data_centre});
     out.put(target.address);
     out.put(target.control);
     out.put(std::uint64_t{target.slots});
     out.put(static_cast<std::uint64_t>(target.state));
+    out.put(target.started_at_ms);
 }
 
 void write(packet_writer& out, routes_delta const& delta)
 {
-    out.put_array_header(3);
+    out.put_array_header(5);
     out.put_list(delta.changed);
     out.put(delta.removed);
     out.put(delta.idle_lifetime);
+    out.put(delta.version);
+    out.put_list(delta.warm_up_limits);
 }
 
 void write(packet_writer& out, route_record const& route)
@@ -94,12 +118,12 @@
 }
 
 // A digest and the change from one generation to a later one: complete
-// services, changes of services, removed services, and routes. The fleet is not
-// written.
+// services, changes of services, removed services, routes and evacuations. The
+// fleet is not written.
 void write(packet_writer& out, peer_update const& update)
 {
     catalog_change const& change = update.change;
-    out.begin_packet(9, packet_kind::update);
+    out.begin_packet(10, packet_kind::update);
     write(out, update.digest);
     out.put(change.base.value);
     out.put(change.to.value);
@@ -115,6 +139,10 @@
         write(out, *change.route_delta);
     else
         out.put_nil();
+    if (change.evacuations)
+        write(out, *change.evacuations);
+    else
+        out.put_nil();
 }
 
 void write(packet_writer& out, change_request const& request)
@@ -156,13 +184,9 @@
     auto const slots = static_cast<std::uint32_t>(in.read_number(UINT32_MAX));
     auto const state = static_cast<target_state>(
         in.read_number(static_cast<std::uint64_t>(target_state::leaving)));
-    return {make_target_id(name),
-            name,
-            data_centre,
-            address,
-            control,
-            slots,
-            state};
+    return {
+        make_target_id(name), name, data_centre, address, control, slots, state,
+        in.read_number()};
 }
 
 service_delta read_service_delta(field_reader& in)
@@ -200,12 +224,33 @@
             read_list<target_record>(in, read_target)};
 }
 
+warm_up_limit read_warm_up_limit(field_reader& in)
+{
+    service_id const service{in.read_number()};
+    duration const warm_up_time = in.read_duration();
+    return {service, warm_up_time,
+            static_cast<std::uint32_t>(in.read_number(UINT32_MAX))};
+}
+
 routes_part read_routes_part(field_reader& in)
 {
     generation const changed_at{in.read_number()};
     std::vector<route_record> const routes =
         read_list<route_record>(in, read_route);
-    return {changed_at, routes, in.read_duration()};
+    duration const idle_lifetime = in.read_duration();
+    std::uint64_t const version = in.read_number();
+    return {changed_at, routes, idle_lifetime, version,
+            read_list<warm_up_limit>(in, read_warm_up_limit)};
+}
+
+evacuations_part read_evacuations_part(field_reader& in)
+{
+    evacuations_part part{{in.read_number()}};
+    while (in.has_more())
+        part.data_centres.emplace_back(in.read_bytes(max_name_size));
+    if (!std::is_sorted(part.data_centres.begin(), part.data_centres.end()))
+        in.mark_invalid();
+    return part;
 }
 
 routes_delta read_routes_delta(field_reader& in)
@@ -214,7 +259,10 @@
         read_list<route_record>(in, read_route);
     std::vector<peer_address> const removed =
         in.read_addresses(max_message_size / packed_address_size);
-    return {changed, removed, in.read_duration()};
+    duration const idle_lifetime = in.read_duration();
+    std::uint64_t const version = in.read_number();
+    return {changed, removed, idle_lifetime, version,
+            read_list<warm_up_limit>(in, read_warm_up_limit)};
 }
 
 // Reads a nested value; nil stands for an absent one.
@@ -252,6 +300,8 @@
     update.change.routes = read_optional<routes_part>(in, read_routes_part);
     update.change.route_delta =
         read_optional<routes_delta>(in, read_routes_delta);
+    update.change.evacuations =
+        read_optional<evacuations_part>(in, read_evacuations_part);
     return update;
 }
 
