Write evacuations and warm-up limits into documents

Cause: a catalog change written as a JSON document lost its evacuations, the version and warm-up limits of its routes and the start times of targets, so its digest no longer matched. An entry had no setting for the limit of an evacuation. Change: the documents carry these fields; absent keys mean none, and a change without them is written as before. evacuation_limit_ms is read (0 or absent: none), and the lower of the two limits applies to all changes. Test: groups a_document and limits_of_an_entry of the stories pass.

--- a/src/documents/documents.cpp
+++ b/src/documents/documents.cpp
@@ -50,6 +50,8 @@
     value["control"] = to_text(target.control);
     value["slots"] = target.slots;
     value["state"] = to_name(target.state);
+    if (target.started_at_ms > 0)
+        value["started_at_ms"] = Json::UInt64{target.started_at_ms};
     return value;
 }
 
@@ -110,6 +112,35 @@
     return value;
 }
 
+Json::Value to_json(warm_up_limit const& limit)
+{
+    Json::Value value{Json::objectValue};
+    value["service"] = to_hex(limit.service.value);
+    value["warm_up_time_us"] = to_json(limit.warm_up_time);
+    value["opens_per_second"] = limit.opens_per_second;
+    return value;
+}
+
+// Adds the version and the limits of the routes, unless there are none.
+void add_version_and_limits(Json::Value& routes, std::uint64_t version,
+                            std::vector<warm_up_limit> const& limits)
+{
+    if (version > 0)
+        routes["version"] = Json::UInt64{version};
+    for (warm_up_limit const& limit : limits)
+        routes["warm_up_limits"].append(to_json(limit));
+}
+
+Json::Value to_json(evacuations_part const& part)
+{
+    Json::Value value{Json::objectValue};
+    value["changed_at"] = to_json_number(part.changed_at);
+    value["data_centres"] = Json::Value{Json::arrayValue};
+    for (std::string const& name : part.data_centres)
+        value["data_centres"].append(name);
+    return value;
+}
+
 Json::Value to_json(routes_part const& part)
 {
     Json::Value value{Json::objectValue};
@@ -118,6 +149,7 @@
     value["routes"] = Json::Value{Json::arrayValue};
     for (route_record const& route : part.routes)
         value["routes"].append(to_json(route));
+    add_version_and_limits(value, part.version, part.warm_up_limits);
     return value;
 }
 
@@ -148,6 +180,7 @@
     value["gone"] = Json::Value{Json::arrayValue};
     for (peer_address const& address : delta.removed)
         value["gone"].append(to_text(address));
+    add_version_and_limits(value, delta.version, delta.warm_up_limits);
     return value;
 }
 
@@ -216,7 +249,7 @@
 target_record read_target(json_checker& checker, json_node const& object)
 {
     checker.check_keys(object, {"name", "data_centre", "address", "control",
-                                "slots", "state"});
+                                "slots", "state", "started_at_ms"});
     std::string const name = checker.read_text(object, "name");
     std::string const data_centre = checker.read_text(object, "data_centre");
     peer_address const address = checker.read_address(object, "address");
@@ -230,7 +263,8 @@
             address,
             control,
             slots,
-            state};
+            state,
+            checker.read_number_or(object, "started_at_ms", 0)};
 }
 
 entry_record read_entry(json_checker& checker, json_node const& object)
@@ -311,9 +345,44 @@
             deadline, priority, checker.read_flag(object, "idempotent")};
 }
 
+warm_up_limit read_warm_up_limit(json_checker& checker, json_node const& object)
+{
+    checker.check_keys(object,
+                       {"service", "warm_up_time_us", "opens_per_second"});
+    service_id const service{checker.read_digest(object, "service").value};
+    duration const time = read_microseconds(checker, object, "warm_up_time_us");
+    return {service, time,
+            static_cast<std::uint32_t>(checker.read_number(
+                object, "opens_per_second", {0, UINT32_MAX}))};
+}
+
+std::vector<warm_up_limit> read_warm_up_limits(json_checker& checker,
+                                               json_node const& object)
+{
+    std::vector<warm_up_limit> limits;
+    if (!checker.has(object, "warm_up_limits"))
+        return limits;
+    for (json_node const& item : checker.read_list(object, "warm_up_limits"))
+        limits.push_back(read_warm_up_limit(checker, item));
+    return limits;
+}
+
+evacuations_part read_evacuations(json_checker& checker,
+                                  json_node const& object)
+{
+    checker.check_keys(object, {"changed_at", "data_centres"});
+    evacuations_part part{
+        read_generation(checker, object, "changed_at", {0, INT64_MAX}), {}};
+    for (json_node const& item : checker.read_list(object, "data_centres"))
+        part.data_centres.push_back(checker.read_item_text(item));
+    std::sort(part.data_centres.begin(), part.data_centres.end());
+    return part;
+}
+
 routes_part read_routes(json_checker& checker, json_node const& object)
 {
-    checker.check_keys(object, {"changed_at", "idle_lifetime_us", "routes"});
+    checker.check_keys(object, {"changed_at", "idle_lifetime_us", "routes",
+                                "version", "warm_up_limits"});
     generation const changed_at =
         read_generation(checker, object, "changed_at", {0, INT64_MAX});
     duration const idle =
@@ -321,7 +390,9 @@
     std::vector<route_record> routes;
     for (json_node const& item : checker.read_list(object, "routes"))
         routes.push_back(read_route(checker, item));
-    return {changed_at, routes, idle};
+    return {changed_at, routes, idle,
+            checker.read_number_or(object, "version", 0),
+            read_warm_up_limits(checker, object)};
 }
 
 platform_head read_head(json_checker& checker, json_node const& object)
@@ -356,9 +427,13 @@
 
 routes_delta read_route_delta(json_checker& checker, json_node const& object)
 {
-    checker.check_keys(object, {"idle_lifetime_us", "changed", "gone"});
-    routes_delta delta{
-        {}, {}, read_microseconds(checker, object, "idle_lifetime_us")};
+    checker.check_keys(object, {"idle_lifetime_us", "changed", "gone",
+                                "version", "warm_up_limits"});
+    routes_delta delta{{},
+                       {},
+                       read_microseconds(checker, object, "idle_lifetime_us"),
+                       checker.read_number_or(object, "version", 0),
+                       read_warm_up_limits(checker, object)};
     for (json_node const& item : checker.read_list(object, "changed"))
         delta.changed.push_back(read_route(checker, item));
     for (json_node const& item : checker.read_list(object, "gone"))
@@ -368,9 +443,9 @@
 
 catalog_change read_change(json_checker& checker, json_node const& object)
 {
-    checker.check_keys(object,
-                       {"generation", "digest", "base", "parts", "removed",
-                        "fleet", "routes", "deltas", "route_delta"});
+    checker.check_keys(object, {"generation", "digest", "base", "parts",
+                                "removed", "fleet", "routes", "deltas",
+                                "route_delta", "evacuations"});
     catalog_version const version = read_version(checker, object);
     generation const base =
         read_generation(checker, object, "base", {0, INT64_MAX});
@@ -394,8 +469,12 @@
     if (checker.has(object, "route_delta"))
         route_delta = read_route_delta(
             checker, checker.read_object(object, "route_delta"));
-    return {base,  version.number, version.content, parts,      removed,
-            fleet, routes,         deltas,          route_delta};
+    std::optional<evacuations_part> evacuations;
+    if (checker.has(object, "evacuations"))
+        evacuations = read_evacuations(
+            checker, checker.read_object(object, "evacuations"));
+    return {base,  version.number, version.content, parts,       removed,
+            fleet, routes,         deltas,          route_delta, evacuations};
 }
 
 }  // namespace
@@ -446,6 +525,8 @@
         value["deltas"] = to_json(change.deltas);
     if (change.route_delta)
         value["route_delta"] = to_json(*change.route_delta);
+    if (change.evacuations)
+        value["evacuations"] = to_json(*change.evacuations);
     return compact_json(value);
 }
 
--- a/src/programs/connection_settings.cpp
+++ b/src/programs/connection_settings.cpp
@@ -2,6 +2,8 @@
 
 #include "programs/settings.hpp"
 
+#include <algorithm>
+
 namespace lagoon {
 
 namespace {
@@ -16,13 +18,26 @@
                 object, "log_lines_per_second", {1, max_lines_per_second}))};
 }
 
+// Returns 0 if the limit is absent or 0.
+duration read_optional_limit(json_checker& checker, json_node const& object,
+                             std::string const& key)
+{
+    if (!checker.has(object, key))
+        return {};
+    Json::Value const& value = (*object.value)[key];
+    bool const is_off = value.isNumeric() && value.asDouble() == 0;
+    return is_off ? duration{}
+                  : checker.read_duration(object, key,
+                                          std::chrono::milliseconds{1});
+}
+
 entry_process_settings read_entry(json_checker& checker,
                                   json_node const& object)
 {
-    checker.check_keys(object, {"name", "data_centre", "packets", "exchange",
-                                "control", "ready", "metrics", "platform",
-                                "seeds", "change_limit_ms", "log_level",
-                                "log_lines_per_second"});
+    checker.check_keys(
+        object, {"name", "data_centre", "packets", "exchange", "control",
+                 "ready", "metrics", "platform", "seeds", "change_limit_ms",
+                 "evacuation_limit_ms", "log_level", "log_lines_per_second"});
     entry_process_settings settings{
         .name = checker.read_text(object, "name"),
         .data_centre = checker.read_text(object, "data_centre"),
@@ -33,6 +48,8 @@
         .platform = checker.read_address(object, "platform"),
         .change_limit = checker.read_duration(object, "change_limit_ms",
                                               std::chrono::milliseconds{1}),
+        .evacuation_limit =
+            read_optional_limit(checker, object, "evacuation_limit_ms"),
         .log = read_log(checker, object),
     };
     for (json_node const& item : checker.read_list(object, "seeds"))
@@ -78,6 +95,13 @@
     return parse_checked(checker, text, read_target);
 }
 
+duration compute_apply_limit(entry_process_settings const& settings)
+{
+    return settings.evacuation_limit == duration{}
+               ? settings.change_limit
+               : std::min(settings.change_limit, settings.evacuation_limit);
+}
+
 log_identity make_log_identity(entry_process_settings const& settings)
 {
     return {settings.name, settings.log.level};
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -38,11 +38,15 @@
     peer_address metrics = {};             // TCP, GET /metrics
     peer_address platform = {};            // TCP, HTTP
     std::vector<peer_address> seeds = {};  // peers; only the IPs are used
-    duration change_limit = {};  // deadline for applying a platform change
+    duration change_limit = {};      // deadline for applying a platform change
+    duration evacuation_limit = {};  // the same for evacuations; 0: none
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
 
+// Returns the deadline for applying any change: the lower of the limits.
+duration compute_apply_limit(entry_process_settings const& settings);
+
 // ---- target_process_settings --------------------------------------------
 
 struct target_process_settings
--- a/tests/stories/documents_story.cpp
+++ b/tests/stories/documents_story.cpp
@@ -318,6 +318,104 @@
                     .has_value());
 }
 
+// A part that the document leaves out gives the catalog another digest, and its
+// reader rejects the change.
+TEST(a_document, of_a_change_keeps_every_part)
+{
+    routes_part const routes{
+        {7}, {}, std::chrono::seconds{15}, 9, {{{3}, duration{2'500'000}, 4}}};
+    target_record const target{make_target_id("m1"),
+                               "m1",
+                               "zg-a",
+                               {1, 2},
+                               {3, 4},
+                               2,
+                               target_state::joining,
+                               1'700'000'000'000};
+    catalog_change change{{}, {7}};
+    change.parts = {{make_service_id("members"), "members", {7}, {}, {target}}};
+    change.routes = routes;
+    change.evacuations = evacuations_part{{6}, {"zg-a", "zg-b"}};
+    SAME(change, *parse_change(this->checker, write_document(change)));
+    change.base = {5};
+    change.routes.reset();
+    change.route_delta = routes_delta{
+        {}, {}, routes.idle_lifetime, routes.version, routes.warm_up_limits};
+    SAME(change, *parse_change(this->checker, write_document(change)));
+}
+
+// Earlier versions wrote documents without these keys.
+TEST(a_document, of_a_change_may_lack_optional_keys)
+{
+    std::optional<catalog_change> const change = parse_change(
+        this->checker,
+        R"({"generation":3,"digest":"0000000000000004","base":0,"removed":[],)"
+        R"("parts":[],"routes":{"changed_at":2,"idle_lifetime_us":5,)"
+        R"("routes":[]}})");
+    CHECK(change.has_value());
+    SAME((routes_part{{2}, {}, duration{5}}), *change->routes);
+    CHECK_FALSE(change->evacuations.has_value());
+    STRCMP_CONTAINS(R"("routes":{"changed_at":2,"idle_lifetime_us":5,)"
+                    R"("routes":[]})",
+                    write_document(*change).c_str());
+}
+
+// ---- limits of changes --------------------------------------------------
+
+namespace {
+
+struct the_limits_of_an_entry : Utest
+{
+    json_checker checker{"entry.json"};
+
+    std::optional<entry_process_settings> parse(std::string const& limits)
+    {
+        return parse_entry_process_settings(this->checker, R"({
+            "name": "e1", "data_centre": "zg-a", "packets": "127.0.0.1:1",
+            "exchange": "127.0.0.1:2", "ready": "127.0.0.1:3",
+            "metrics": "127.0.0.1:4", "platform": "127.0.0.1:5", "seeds": [],
+            "log_level": "info", "log_lines_per_second": 9,)" + limits +
+                                                               "}");
+    }
+
+    duration compute_limit(std::string const& limits)
+    {
+        std::optional<entry_process_settings> const settings =
+            this->parse(limits);
+        return settings ? compute_apply_limit(*settings) : duration{};
+    }
+};
+
+}  // namespace
+
+SECTION(limits_of_an_entry, the_limits_of_an_entry){};
+
+// A process that reads the store for the longer limit learns of an evacuation
+// too late.
+TEST(limits_of_an_entry, are_applied_to_all_changes_by_the_lower)
+{
+    using std::chrono::milliseconds;
+    SAME(milliseconds{5000}, this->compute_limit(R"("change_limit_ms": 5000)"));
+    SAME(milliseconds{5000},
+         this->compute_limit(
+             R"("change_limit_ms": 5000, "evacuation_limit_ms": 0)"));
+    SAME(milliseconds{2500},
+         this->compute_limit(
+             R"("change_limit_ms": 5000, "evacuation_limit_ms": 2500)"));
+    SAME(milliseconds{3000},
+         this->compute_limit(
+             R"("change_limit_ms": 3000, "evacuation_limit_ms": 5000)"));
+}
+
+TEST(limits_of_an_entry, are_rejected_if_invalid)
+{
+    for (char const* value : {"-1", "\"5000\"", "true", "[]"})
+        CHECK_FALSE(this->parse(std::string{R"("change_limit_ms": 5000,)"
+                                            R"("evacuation_limit_ms": )"} +
+                                value)
+                        .has_value());
+}
+
 // ---- settings -----------------------------------------------------------
 
 SECTION(settings, settings_of_an_entry){};
