Open nothing in an evacuated data centre

Cause: nothing acted on the evacuations of the catalog. Change: an entry excludes targets of evacuated data centres for opening packets. A copy of an accepted packet still goes to its target; a cached owner older than a second, or of a connection that its caller has finished, counts as a reused port. If all targets that accept connections are evacuated, the packet is refused at once, except a copy, which may belong to a connection that another entry opened. Three entries per target, selected by hash, notify it each second, and it refuses offers of a lower catalog generation. Begin and end are logged and counted by entries, refused offers by targets; /metrics of an entry lists the evacuated data centres. In the simulated fleet, an entry that is cut off from the platform also loses the watch that it had open. Nothing is opened in the evacuated data centre after 5 s with a third of the entries cut off from the store, or from the store and all peers.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -9,9 +9,11 @@
 //   connection_entry   the aggregate: `on(event, now)` returns effects
 #pragma once
 
+#include "entry/evacuation_rules.hpp"
 #include "entry/owner_candidates.hpp"
 #include "flow/ranking.hpp"
 #include "membership/adoption.hpp"
+#include "membership/evacuation_notifier.hpp"
 #include "placement/owner_table.hpp"
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
@@ -62,6 +64,14 @@
     auto operator<=>(send_offer const&) const = default;
 };
 
+// Notifies a target of the evacuation of its data centre.
+struct send_evacuation_notice
+{
+    peer_address to = {};
+    evacuation_notice notice = {};
+    auto operator<=>(send_evacuation_notice const&) const = default;
+};
+
 // Resets a connection that could not be opened or no longer exists.
 struct reset_caller
 {
@@ -103,16 +113,18 @@
 {
     platform_lost,
     platform_regained,
-    paused,         // the process did not run for a while
-    target_lapsed,  // removed: its key expired without an announcement
-    table_full      // no room to cache further owners
+    paused,            // the process did not run for a while
+    target_lapsed,     // removed: its key expired without an announcement
+    table_full,        // no room to cache further owners
+    evacuation_begun,  // of a data centre: it gets no new connections
+    evacuation_ended
 };
 
 // Logs a change in the state of the entry or of its view of the fleet.
 struct status_change_note
 {
     status_change change = status_change::platform_lost;
-    std::string subject = {};  // name of the target, if any
+    std::string subject = {};  // name of the target or data centre, if any
     duration platform_age = {};
     auto operator<=>(status_change_note const&) const = default;
 };
@@ -120,7 +132,8 @@
 using connection_entry_effect =
     std::variant<send_offer, reset_caller, send_digest, send_update,
                  fetch_from_peer, read_platform, generation_adopted,
-                 report_failure, placement_note, status_change_note>;
+                 report_failure, placement_note, status_change_note,
+                 send_evacuation_notice>;
 using connection_entry_effects = std::vector<connection_entry_effect>;
 
 // ---- connection_entry ---------------------------------------------------
@@ -242,6 +255,8 @@
                         time_point now);
     void handle_config_change(effects_type& effects,
                               catalog_version const& before, time_point now);
+    void report_evacuations(effects_type& effects, time_point now);
+    void notify_evacuated_targets(effects_type& effects, time_point now);
     void retry_held_now(time_point now);
     bool was_paused(time_point now) const;
     void retry_held(effects_type& effects, time_point now);
@@ -262,6 +277,7 @@
     std::deque<held_packet> held = {};
     refusal_history refusals = {};
     search_table searches = {};
+    evacuation_notifier evacuations;
     bool was_platform_reachable = false;
     bool is_resuming = false;  // after a pause, until the catalog is confirmed
     bool is_owner_table_full = false;
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -22,7 +22,7 @@
                                          R random, time_point now)
     : settings(settings), member(settings.membership, std::move(random), now),
       owners(settings.owners), connection_placer(settings.placement),
-      last_tick(now)
+      evacuations(settings.membership.self), last_tick(now)
 {
 }
 
@@ -211,13 +211,27 @@
         this->hold(effects, packet, times, now);
         return;
     }
-    bool const is_retransmission = owner && owner->target != returned_by;
+    bool const is_retransmission =
+        owner && owner->target != returned_by &&
+        detail::accepts_copy(*owner, *part, this->config, now);
     // A retransmission goes to the target that accepted the first packet, even
     // if that target is leaving.
-    std::vector<target_record const*> const ranked =
+    std::vector<target_record const*> ranked =
         is_retransmission ? rank_owners(*part, make_flow_key(packet.endpoints))
                           : this->select_candidates(*part, packet.endpoints,
                                                     returned_by, now);
+    detail::exclude_evacuated(ranked, this->config,
+                              is_retransmission ? std::optional{owner->target}
+                                                : std::nullopt);
+    // A copy may belong to a connection that was opened through another entry,
+    // so it is not reset.
+    bool const is_refused = ranked.empty() &&
+                            packet.retransmission_count == 0 &&
+                            detail::is_unavailable(*part, this->config);
+    if (is_refused) {
+        this->refuse(effects, packet, times.requested_at, now);
+        return;
+    }
     std::vector<placement_candidate> targets;
     targets.reserve(ranked.size());
     for (target_record const* target : ranked)
@@ -230,7 +244,9 @@
                                         .objective = route->objective,
                                         .deadline = route->deadline,
                                         .priority = route->priority,
-                                        .is_retryable = route->is_idempotent};
+                                        .is_retryable = route->is_idempotent,
+                                        .config_generation =
+                                            this->config.version().number};
     this->start_placement(effects,
                           {packet,
                            attributes,
@@ -242,19 +258,20 @@
                           now);
 }
 
-// Returns the best-ranked targets for a new connection, without avoided ones
-// unless all are avoided.
+// Returns the best-ranked targets for a new connection outside evacuated data
+// centres, without avoided ones unless all are avoided.
 template <random_source R, placement_policy P>
 std::vector<target_record const*> connection_entry<R, P>::select_candidates(
     service_part const& part, connection_endpoints const& endpoints,
     std::optional<peer_address> returned_by, time_point now) const
 {
-    std::vector<target_record const*> const ranked =
-        rank_targets_if(part, make_flow_key(endpoints), detail::max_candidates,
-                        [this, returned_by, now](target_record const& target) {
-                            return target.address != returned_by &&
-                                   !this->hints.is_avoided(target.address, now);
-                        });
+    std::vector<target_record const*> const ranked = rank_targets_if(
+        part, make_flow_key(endpoints), detail::max_candidates,
+        [this, returned_by, now](target_record const& target) {
+            return target.address != returned_by &&
+                   !this->config.is_evacuated(target.data_centre) &&
+                   !this->hints.is_avoided(target.address, now);
+        });
     return ranked.empty() ? rank_targets(part, make_flow_key(endpoints))
                           : ranked;
 }
@@ -598,6 +615,7 @@
 {
     if (this->config.version() != before) {
         this->directory.update(this->config, now);
+        this->report_evacuations(effects, now);
         this->retry_held_now(now);
     }
     this->retry_held(effects, now);
@@ -613,6 +631,31 @@
     this->report_platform_change(effects, now);
 }
 
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::report_evacuations(effects_type& effects,
+                                                time_point now)
+{
+    evacuation_difference const changes =
+        this->evacuations.update(this->config);
+    duration const age = this->member.platform_age(now);
+    for (std::string const& name : changes.begun)
+        effects.push_back(
+            status_change_note{status_change::evacuation_begun, name, age});
+    for (std::string const& name : changes.ended)
+        effects.push_back(
+            status_change_note{status_change::evacuation_ended, name, age});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::notify_evacuated_targets(effects_type& effects,
+                                                      time_point now)
+{
+    for (addressed_notice const& one :
+         this->evacuations.tick(this->config, this->directory.services(),
+                                this->member.known_peers(), now))
+        effects.push_back(send_evacuation_notice{one.to, one.notice});
+}
+
 // A changed catalog may contain what a held packet waits for.
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::retry_held_now(time_point now)
@@ -652,6 +695,7 @@
     for (target_record const& expired : this->directory.tick(age, now))
         effects.push_back(status_change_note{status_change::target_lapsed,
                                              expired.name, age});
+    this->notify_evacuated_targets(effects, now);
     this->handle_outcome(effects,
                          this->connection_placer.tick(this->hints, now), now);
     this->retry_held(effects, now);
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -157,6 +157,9 @@
     void handle_failure(change_source source, catalog const& current,
                         time_point now);
 
+    // Returns the peers learnt from digests.
+    std::vector<known_peer> known_peers() const;
+
     // Returns whether the platform answered the last read.
     bool is_platform_reachable() const;
 
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -72,6 +72,12 @@
     return all;
 }
 
+template <random_source R>
+std::vector<known_peer> membership<R>::known_peers() const
+{
+    return this->peers.all();
+}
+
 template <random_source R>
 std::vector<peer_address> membership<R>::pick_peers(catalog const& current,
                                                     std::size_t limit)
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -46,11 +46,12 @@
 make_role_settings(entry_process_settings const& settings)
 {
     connection_entry_settings role{};
-    role.membership = {.self = make_process_id(settings.name),
-                       .data_centre = settings.data_centre,
-                       .exchange = settings.exchange,
-                       .seeds = make_seed_addresses(settings),
-                       .timing = make_membership_timing(settings.change_limit)};
+    role.membership = {
+        .self = make_process_id(settings.name),
+        .data_centre = settings.data_centre,
+        .exchange = settings.exchange,
+        .seeds = make_seed_addresses(settings),
+        .timing = make_membership_timing(compute_apply_limit(settings))};
     return role;
 }
 
@@ -284,6 +285,9 @@
             this->metrics.make_exposition()
                 .add_gauge("lagoon_connections",
                            static_cast<double>(this->role.connection_count()))
+                .add_flags(
+                    "lagoon_evacuated", "data_centre",
+                    this->role.configuration().evacuations().data_centres)
                 .get_text(),
             0};
     return {404, "text/plain", "unknown path; use GET /ready or GET /metrics\n",
@@ -398,7 +402,15 @@
 void connection_entry_program<Format, Reader>::perform(
     status_change_note const& effect)
 {
+    this->metrics.record(effect);
     write_log_line(this->log, effect);
 }
 
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::perform(
+    send_evacuation_notice const& effect)
+{
+    this->loop.send(peer_socket, effect.to, encode_packet(effect.notice));
+}
+
 }  // namespace lagoon
--- a/src/programs/connection_target_program.ipp
+++ b/src/programs/connection_target_program.ipp
@@ -162,6 +162,11 @@
 {
     failure error;
     std::optional<datagram> packet = decode_packet(bytes, from, error);
+    if (auto const* notice =
+            packet ? std::get_if<evacuation_notice>(&*packet) : nullptr) {
+        this->handle(connection_target_event{notice_from_entry{*notice}});
+        return;
+    }
     packet_offer* offer =
         packet ? std::get_if<packet_offer>(&*packet) : nullptr;
     if (offer == nullptr) {
--- a/src/programs/connection_telemetry.cpp
+++ b/src/programs/connection_telemetry.cpp
@@ -54,6 +54,8 @@
         return "unwell";
     case tracking_result::well:
         return "well";
+    case tracking_result::evacuated:
+        return "refused_outdated_entry";
     case tracking_result::table_full:
         return "table_full";
     }
@@ -73,6 +75,10 @@
         return "target_lapsed";
     case status_change::table_full:
         return "table_full";
+    case status_change::evacuation_begun:
+        return "evacuation_begun";
+    case status_change::evacuation_ended:
+        return "evacuation_ended";
     }
     return "?";
 }
@@ -114,6 +120,11 @@
         this->running_time.add(note.elapsed);
 }
 
+void connection_metrics::record(status_change_note const& note)
+{
+    ++this->status_change_counts[static_cast<std::size_t>(note.change)];
+}
+
 void connection_metrics::record(report_failure const&)
 {
     ++this->failure_count;
@@ -127,6 +138,8 @@
                       name_counts<placement_result>(this->placement_counts))
         .add_counters("lagoon_connections_total", "result",
                       name_counts<tracking_result>(this->tracking_counts))
+        .add_counters("lagoon_status_changes_total", "change",
+                      name_counts<status_change>(this->status_change_counts))
         .add_counters("lagoon_failures_total", "kind",
                       {{"all", this->failure_count}})
         .add_histogram("lagoon_placing_seconds", this->placing_time)
--- a/src/programs/connection_telemetry.hpp
+++ b/src/programs/connection_telemetry.hpp
@@ -30,6 +30,7 @@
 public:
     void record(placement_note const& note);
     void record(tracking_note const& note);
+    void record(status_change_note const& note);
     void record(report_failure const& note);
 
     // Returns all counters and histograms; the program adds its gauges.
@@ -40,9 +41,12 @@
         static_cast<std::size_t>(placement_result::returned) + 1;
     static constexpr std::size_t tracking_results =
         static_cast<std::size_t>(tracking_result::table_full) + 1;
+    static constexpr std::size_t status_changes =
+        static_cast<std::size_t>(status_change::evacuation_ended) + 1;
 
     std::array<std::uint64_t, placement_results> placement_counts = {};
     std::array<std::uint64_t, tracking_results> tracking_counts = {};
+    std::array<std::uint64_t, status_changes> status_change_counts = {};
     std::uint64_t failure_count = 0;
     latency_histogram placing_time = {};  // until a target answered
     latency_histogram waiting_time = {};  // queued at a target
--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -33,6 +33,12 @@
     auto operator<=>(entry_offer const&) const = default;
 };
 
+struct notice_from_entry
+{
+    evacuation_notice notice = {};
+    auto operator<=>(notice_from_entry const&) const = default;
+};
+
 struct packet_from_back_end
 {
     connection_packet packet = {};
@@ -49,7 +55,7 @@
 
 using connection_target_event =
     std::variant<entry_offer, packet_from_back_end, packet_returned, clock_tick,
-                 stop_requested>;
+                 stop_requested, notice_from_entry>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -94,6 +100,7 @@
     adopted,     // opened before this process started
     unwell,      // the back end fails requests; entries avoid it
     well,        // the back end serves requests again
+    evacuated,   // refused: the entry doesn't know of the evacuation
     table_full
 };
 
@@ -195,7 +202,10 @@
                   time_point now);
     void on_event(effects_type& effects, stop_requested const& event,
                   time_point now);
+    void on_event(effects_type& effects, notice_from_entry const& event,
+                  time_point now);
 
+    bool is_outdated(packet_offer const& offer) const;
     void handle_open(effects_type& effects, entry_offer const& event,
                      time_point now);
     void handle_open_copy(effects_type& effects, entry_offer const& event,
@@ -239,6 +249,7 @@
     back_end_health health;
     waiting_opens queued_opens = {};
     time_point started_at;
+    generation newest_notice = {};  // of an evacuation; 0: none
     std::optional<time_point> stopping_since = {};
 };
 
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -147,6 +147,27 @@
         this->handle_other_packet(effects, event, now);
 }
 
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type&,
+                                       notice_from_entry const& event,
+                                       time_point)
+{
+    if (event.notice.service == this->settings.service)
+        this->newest_notice =
+            std::max(this->newest_notice, event.notice.config_generation);
+}
+
+// Returns whether the entry offered a connection without knowing of the
+// evacuation. An entry with the generation of the notice or a later one knows
+// whether the evacuation still applies.
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::is_outdated(packet_offer const& offer) const
+{
+    generation const known =
+        offer.attributes ? offer.attributes->config_generation : generation{};
+    return known < this->newest_notice;
+}
+
 template <queue_policy Q, running_time_predictor T>
 void connection_target<Q, T>::handle_open(effects_type& effects,
                                           entry_offer const& event,
@@ -165,6 +186,14 @@
         this->reply(effects, event, offer_verdict::leaving, true, now);
         return;
     }
+    if (this->is_outdated(event.offer)) {
+        tracking_note note = this->make_note(tracking_result::evacuated,
+                                             event.packet.endpoints, {});
+        note.entry = event.from;
+        effects.push_back(note);
+        this->reply(effects, event, offer_verdict::leaving, true, now);
+        return;
+    }
     if (!this->monitor.may_send_open(now)) {
         this->reply(effects, event, offer_verdict::no_answer, true, now);
         return;
--- a/src/telemetry/exposition.cpp
+++ b/src/telemetry/exposition.cpp
@@ -18,6 +18,22 @@
     return {digits.data(), static_cast<std::size_t>(size)};
 }
 
+// Escapes the characters that end a label's value or its line.
+std::string escape_label(std::string const& value)
+{
+    std::string escaped;
+    for (char const character : value) {
+        if (character == '\n') {
+            escaped += "\\n";
+            continue;
+        }
+        if (character == '"' || character == '\\')
+            escaped += '\\';
+        escaped += character;
+    }
+    return escaped;
+}
+
 }  // namespace
 
 latency_histogram::latency_histogram()
@@ -74,6 +90,17 @@
     return *this;
 }
 
+exposition_writer&
+exposition_writer::add_flags(std::string_view family, std::string_view label,
+                             std::vector<std::string> const& values)
+{
+    this->text += "# TYPE " + std::string{family} + " gauge\n";
+    for (std::string const& value : values)
+        this->text += std::string{family} + "{" + std::string{label} + "=\"" +
+                      escape_label(value) + "\"} 1\n";
+    return *this;
+}
+
 exposition_writer&
 exposition_writer::add_histogram(std::string_view name,
                                  latency_histogram const& values)
--- a/src/telemetry/exposition.hpp
+++ b/src/telemetry/exposition.hpp
@@ -60,6 +60,11 @@
                                     std::string_view label,
                                     std::vector<labelled_count> const& counts);
     exposition_writer& add_gauge(std::string_view name, double value);
+
+    // Adds a gauge of value 1 for each value of the label.
+    exposition_writer& add_flags(std::string_view family,
+                                 std::string_view label,
+                                 std::vector<std::string> const& values);
     exposition_writer& add_histogram(std::string_view name,
                                      latency_histogram const& values);
 
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -273,6 +273,9 @@
                                      kind.priority,
                                      kind.is_idempotent});
         update.routes = routes;
+        for (int const data_centre : this->evacuated)
+            update.evacuations.push_back(
+                {"z" + std::to_string(data_centre), true});
         published_catalog listing;
         this->stored_change = *listing.apply(update, {});
     }
@@ -392,7 +395,9 @@
     std::set<std::size_t> withdrawn = {};  // entries without caller packets
     std::set<std::size_t> unlisted = {};   // targets left out of publish()
     std::set<std::size_t> leaving = {};    // targets published as leaving
-    std::set<std::size_t> cut_off_entries = {};  // cannot read the platform
+    std::set<std::size_t> cut_off_entries = {};   // cannot read the platform
+    std::set<std::size_t> isolated_entries = {};  // nor exchange with peers
+    std::set<int> evacuated = {};                 // data centres
     bool is_platform_up = true;
     std::size_t platform_calls = 0;
     std::size_t resets = 0;             // received by callers
@@ -928,6 +933,10 @@
         std::size_t const to = effect.to.ip - entry_ip;
         if (to >= this->entries.size() || this->draw_loss())
             return;
+        bool const is_dropped = this->isolated_entries.contains(index) ||
+                                this->isolated_entries.contains(to);
+        if (is_dropped)
+            return;
         Packet const packet{this->entries[index].address, effect.message};
         this->schedule(this->hop_delay(this->entries[index].data_centre,
                                        this->entries[to].data_centre),
@@ -958,12 +967,19 @@
             index, query{effect.exchange, {effect.since}});
     }
 
+    // Returns whether the entry can't read the platform.
+    bool is_cut_off(std::size_t index) const
+    {
+        return this->cut_off_entries.contains(index) ||
+               this->isolated_entries.contains(index);
+    }
+
     // A watch returns the next change, or nothing once its duration has passed.
     void perform_entry(std::size_t index, read_platform const& effect)
     {
         ++this->platform_calls;
         std::uint64_t const incarnation = this->entries[index].incarnation;
-        if (!this->is_platform_up || this->cut_off_entries.contains(index)) {
+        if (!this->is_platform_up || this->is_cut_off(index)) {
             this->schedule(platform_delay, [this, index, incarnation] {
                 if (this->entries[index].incarnation == incarnation)
                     this->feed_entry(
@@ -986,6 +1002,11 @@
                                                             until, is_waiting] {
             if (this->entries[index].incarnation != incarnation)
                 return;
+            if (this->is_cut_off(index)) {
+                this->feed_entry(
+                    index, change_unavailable{change_source::platform, {}});
+                return;
+            }
             if (is_waiting) {
                 this->respond_to_read(index, incarnation, effect, until);
                 return;
@@ -1011,6 +1032,19 @@
             this->placement_notes.push_back(note);
     }
 
+    void perform_entry(std::size_t index, send_evacuation_notice const& effect)
+    {
+        std::size_t const target = effect.to.ip - target_ip;
+        if (target >= this->targets.size() || this->draw_loss())
+            return;
+        this->schedule(
+            this->hop_delay(this->entries[index].data_centre,
+                            this->targets[target].data_centre),
+            [this, target, event = notice_from_entry{effect.notice}] {
+                this->feed_target(target, event);
+            });
+    }
+
     void perform_entry(std::size_t, status_change_note const& note)
     {
         this->status_changes.push_back(note);
--- a/tests/fuzz/connection_world.hpp
+++ b/tests/fuzz/connection_world.hpp
@@ -426,6 +426,7 @@
     void perform_entry(std::size_t, report_failure const&) {}
     void perform_entry(std::size_t, placement_note const&) {}
     void perform_entry(std::size_t, status_change_note const&) {}
+    void perform_entry(std::size_t, send_evacuation_notice const&) {}
 
     // -- targets
 
--- a/tests/stories/codec_story.cpp
+++ b/tests/stories/codec_story.cpp
@@ -151,6 +151,33 @@
     }
 }
 
+TEST(codec, decodes_updates_with_evacuations)
+{
+    published_catalog published;
+    published_update snapshot{{7}, true, {}, {}};
+    snapshot.evacuations = {{"zg-b", true}, {"zg-a", true}};
+    std::optional<catalog_change> const change = published.apply(snapshot, {});
+    CHECK(change && change->evacuations);
+    peer_update const update{{{1}, {{7}, {3}}, 4ms, {5, 6}, false}, *change};
+    SAME(datagram{update}, this->decode(encode_packet(update)));
+}
+
+// The end of the last evacuation is an empty list, not a missing one.
+TEST(codec, decodes_updates_with_the_end_of_an_evacuation)
+{
+    peer_update update{{{1}, {{7}, {3}}, 4ms, {5, 6}, false}, {}};
+    update.change.evacuations = evacuations_part{{8}, {}};
+    SAME(datagram{update}, this->decode(encode_packet(update)));
+}
+
+TEST(codec, decodes_an_evacuation_notice)
+{
+    for (std::uint64_t const number : {0ULL, 1ULL, 1ULL << 62U}) {
+        evacuation_notice const notice{make_service_id("members"), {number}};
+        SAME(datagram{notice}, this->decode(encode_packet(notice)));
+    }
+}
+
 struct given_invalid_packets : codec_fixture
 {
 };
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -15,10 +15,11 @@
 peer_address const archive_route{0xC6120001, 444};
 peer_address const new_route{0xC6120001, 445};
 
-target_record make_serving_target(peer_address address)
+target_record make_serving_target(peer_address address,
+                                  char const* data_centre = "zg-a")
 {
     std::string const name = to_text(address);
-    return {make_target_id(name), name, "zg-a", address, address, 2,
+    return {make_target_id(name), name, data_centre, address, address, 2,
             target_state::serving};
 }
 
@@ -44,6 +45,7 @@
     connection_entry_effects effects = {};
     std::uint64_t last_generation = 0;
     std::vector<service_part> other_services = {};
+    std::vector<std::string> evacuated = {};  // data centres
 
     static connection_entry_settings make_settings()
     {
@@ -85,7 +87,12 @@
         std::uint64_t sum = compute_digest(fleet_part{}).value;
         for (service_part const& part : change.parts)
             sum += compute_digest(part).value;
-        change.result_digest = {sum + compute_digest(*change.routes).value};
+        if (!this->evacuated.empty())
+            change.evacuations = evacuations_part{next, this->evacuated};
+        change.result_digest = {
+            sum + compute_digest(*change.routes).value +
+            compute_digest(change.evacuations.value_or(evacuations_part{}))
+                .value};
         this->feed(change_received{change_source::platform, {}, change});
     }
 
@@ -851,3 +858,257 @@
     this->open(1);
     UNSIGNED_LONGS_EQUAL(1, this->find_all<send_offer>().size());
 }
+
+// ---- evacuation of a data centre ----------------------------------------
+
+namespace {
+
+// The service members has a target in zg-a, which may be evacuated, and one in
+// zg-b.
+struct an_entry_with_two_data_centres : a_connection_entry
+{
+    void setup() override
+    {
+        this->feed(clock_tick{});
+        this->evacuate({});
+    }
+
+    void evacuate(std::vector<std::string> const& data_centres,
+                  target_state state_elsewhere = target_state::serving)
+    {
+        this->evacuated = data_centres;
+        target_record elsewhere = make_serving_target(second, "zg-b");
+        elsewhere.state = state_elsewhere;
+        this->publish({make_route(members_route, "members"),
+                       make_route(archive_route, "archive")},
+                      {make_serving_target(first, "zg-a"), elsewhere});
+    }
+
+    // Opens connections until the target in zg-a has accepted one. Returns its
+    // port.
+    std::uint16_t open_at_first()
+    {
+        for (std::uint16_t port = 1; port < 100; ++port) {
+            this->open(port);
+            send_offer const offer = this->get_last_offer();
+            this->answer(offer, offer_verdict::taken);
+            if (offer.to == first)
+                return port;
+        }
+        FAIL("no connection was offered to the target");
+        return 0;
+    }
+
+    void send_copy(std::uint16_t port)
+    {
+        connection_packet copy = make_packet(members_route, port, true);
+        copy.retransmission_count = 1;
+        this->feed(packet_from_caller{copy}, 200ms);
+    }
+
+    bool has_offer_to(peer_address target) const
+    {
+        for (send_offer const& one : this->find_all<send_offer>())
+            if (one.to == target)
+                return true;
+        return false;
+    }
+
+    std::size_t count_changes(status_change change) const
+    {
+        std::size_t count = 0;
+        for (status_change_note const& note :
+             this->find_all<status_change_note>())
+            count += note.change == change && note.subject == "zg-a";
+        return count;
+    }
+
+    // Ticks for `span` and returns the notices that the target in zg-a got.
+    std::vector<send_evacuation_notice> collect_notices(duration span)
+    {
+        std::vector<send_evacuation_notice> all;
+        for (duration passed{}; passed < span; passed += 100ms) {
+            this->feed(clock_tick{}, 100ms);
+            for (send_evacuation_notice const& one :
+                 this->find_all<send_evacuation_notice>())
+                all.push_back(one);
+        }
+        return all;
+    }
+};
+
+}  // namespace
+
+SECTION(an_entry_during_an_evacuation, an_entry_with_two_data_centres){};
+
+// Otherwise opening packets reach an evacuated data centre beyond the limit.
+TEST(an_entry_during_an_evacuation, opens_nothing_there)
+{
+    this->evacuate({"zg-a"});
+    for (std::uint16_t port = 1; port <= 40; ++port) {
+        this->open(port);
+        CHECK(this->has_offer_to(second));
+        CHECK(!this->has_offer_to(first));
+        this->answer(this->get_last_offer(), offer_verdict::busy);
+        CHECK(!this->has_offer_to(first));
+    }
+}
+
+TEST(an_entry_during_an_evacuation, opens_nothing_there_when_no_other_answers)
+{
+    this->evacuate({"zg-a"});
+    this->open(1);
+    this->answer(this->get_last_offer(), offer_verdict::no_answer);
+    CHECK(this->find_all<send_offer>().empty());
+    this->open(2);
+    CHECK(!this->has_offer_to(first));
+}
+
+TEST(an_entry_during_an_evacuation, offers_no_returned_packet_there)
+{
+    this->evacuate({"zg-a"});
+    this->open(1);
+    this->answer(this->get_last_offer(), offer_verdict::taken);
+    this->return_packet(second, offer_verdict::no_answer,
+                        make_packet(members_route, 1, true));
+    CHECK(!this->has_offer_to(first));
+}
+
+// The target sent the first packet to its back end. Another back end must not
+// get the copy as well.
+TEST(an_entry_during_an_evacuation, forwards_a_copy_of_an_accepted_packet)
+{
+    std::uint16_t const port = this->open_at_first();
+    this->evacuate({"zg-a"});
+    this->send_copy(port);
+    CHECK(this->has_offer_to(first));
+}
+
+// The cached owner of the earlier connection would get a new one.
+TEST(an_entry_during_an_evacuation, takes_no_reused_port_for_a_copy)
+{
+    std::uint16_t const port = this->open_at_first();
+    this->evacuate({"zg-a"});
+    for (int i = 0; i < 15; ++i)
+        this->feed(clock_tick{}, 100ms);
+    this->open(port);
+    CHECK(!this->has_offer_to(first));
+    CHECK(this->has_offer_to(second));
+}
+
+TEST(an_entry_during_an_evacuation, takes_no_port_of_an_ended_one_for_a_copy)
+{
+    std::uint16_t const port = this->open_at_first();
+    this->evacuate({"zg-a"});
+    connection_packet last = make_packet(members_route, port, false);
+    last.is_finishing = true;
+    this->feed(packet_from_caller{last});
+    this->open(port);
+    CHECK(!this->has_offer_to(first));
+}
+
+TEST(an_entry_during_an_evacuation, forwards_packets_of_open_connections)
+{
+    std::uint16_t const port = this->open_at_first();
+    this->evacuate({"zg-a"});
+    this->send(port);
+    CHECK(this->has_offer_to(first));
+}
+
+TEST(an_entry_during_an_evacuation, searches_there_for_owners)
+{
+    this->evacuate({"zg-a"});
+    this->send(1);
+    send_offer const query = this->get_last_offer();
+    this->answer(query, offer_verdict::not_owner);
+    CHECK(query.to == first || this->has_offer_to(first));
+}
+
+// A held packet is dropped after 190 ms, and its caller waits until its
+// deadline.
+TEST(an_entry_during_an_evacuation, refuses_at_once_if_all_targets_are_there)
+{
+    this->evacuate({"zg-a", "zg-b"});
+    this->open(1);
+    UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
+    CHECK(this->has_note(placement_result::refused));
+    CHECK(this->find_all<send_offer>().empty());
+}
+
+TEST(an_entry_during_an_evacuation, refuses_if_targets_elsewhere_are_leaving)
+{
+    this->evacuate({"zg-a"}, target_state::leaving);
+    this->open(1);
+    UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
+}
+
+// Another entry may have opened the connection before it knew of the
+// evacuation. A reset would end a connection that its back end holds.
+TEST(an_entry_during_an_evacuation, resets_no_connection_after_a_copy)
+{
+    this->evacuate({"zg-a", "zg-b"});
+    this->send_copy(1);
+    CHECK(this->find_all<reset_caller>().empty());
+    CHECK(this->find_all<send_offer>().empty());
+}
+
+TEST(an_entry_during_an_evacuation, holds_packets_if_no_target_accepts_any)
+{
+    this->evacuated = {"zg-a"};
+    this->publish({make_route(members_route, "members")},
+                  {make_leaving_target(first), make_leaving_target(second)});
+    this->open(1);
+    CHECK(this->has_note(placement_result::held));
+    CHECK(this->find_all<reset_caller>().empty());
+}
+
+TEST(an_entry_during_an_evacuation, uses_the_data_centre_after_its_end)
+{
+    this->evacuate({"zg-a"});
+    this->evacuate({});
+    CHECK(this->open_at_first() > 0);
+}
+
+TEST(an_entry_during_an_evacuation, reports_its_begin_and_its_end_once)
+{
+    this->evacuate({"zg-a"});
+    UNSIGNED_LONGS_EQUAL(1,
+                         this->count_changes(status_change::evacuation_begun));
+    this->evacuate({"zg-a"});
+    UNSIGNED_LONGS_EQUAL(0,
+                         this->count_changes(status_change::evacuation_begun));
+    this->evacuate({});
+    UNSIGNED_LONGS_EQUAL(1,
+                         this->count_changes(status_change::evacuation_ended));
+}
+
+// Without the generation a target cannot tell whether the entry knows of the
+// evacuation.
+TEST(an_entry_during_an_evacuation, sends_the_generation_of_its_catalog)
+{
+    this->evacuate({"zg-a"});
+    this->open(1);
+    CHECK(this->get_last_offer().offer.attributes->config_generation ==
+          generation{this->last_generation});
+}
+
+TEST(an_entry_during_an_evacuation, notifies_the_targets_there_each_second)
+{
+    this->evacuate({"zg-a"});
+    std::vector<send_evacuation_notice> const notices =
+        this->collect_notices(3s);
+    UNSIGNED_LONGS_EQUAL(6, notices.size());
+    for (send_evacuation_notice const& one : notices) {
+        CHECK(one.to == first || one.to == archive_target);
+        CHECK(one.notice.config_generation ==
+              generation{this->last_generation});
+    }
+}
+
+TEST(an_entry_during_an_evacuation, notifies_no_target_after_its_end)
+{
+    this->evacuate({"zg-a"});
+    this->collect_notices(1s);
+    this->evacuate({});
+    CHECK(this->collect_notices(2s).empty());
+}
--- a/tests/stories/connection_fleet_story.cpp
+++ b/tests/stories/connection_fleet_story.cpp
@@ -388,3 +388,133 @@
     this->fleet.run_for(20s);
     CHECK(this->earned_between(8s, 10s) > 0.97);
 }
+
+namespace {
+
+// ---- evacuation of a data centre ----------------------------------------
+
+// Six entries and twelve targets in three data centres. Some callers open a
+// connection for each request, others keep theirs open.
+struct evacuation_fixture : Utest
+{
+    static constexpr int evacuated = 1;
+    static constexpr duration limit = 5s;
+    fake_connections<> fleet{13};
+    std::size_t notice = 0;
+    std::size_t feed = 0;
+
+    void setup() override
+    {
+        this->fleet.clients_per_data_centre = 100;
+        this->fleet.entry_settings.membership.timing.reading =
+            make_read_timing(limit);
+        this->notice = this->fleet.add_kind(
+            {notice_route, "members", 13ms, 100ms, 1s, 2, true, 1, 0.1});
+        this->feed = this->fleet.add_kind(
+            {feed_route, "members", 13ms, 250ms, 1500ms, 2, true, 1, 0.3});
+        for (int i = 0; i < 6; ++i)
+            this->fleet.add_entry(i % 3);
+        for (int i = 0; i < 12; ++i)
+            this->fleet.add_target("members", i % 3);
+        this->fleet.publish();
+        this->fleet.run_for(2s);
+        this->fleet.add_load(this->notice, 150, 40s, 3);
+        this->fleet.add_sessions(this->feed, 60, 600ms, 40s, 3);
+        this->fleet.run_for(3s);
+    }
+
+    void set_evacuated(std::set<int> const& data_centres)
+    {
+        this->fleet.evacuated = data_centres;
+        this->fleet.publish();
+    }
+
+    // Returns the number of connections opened in the data centre so far.
+    std::size_t count_opened() const
+    {
+        std::size_t sum = 0;
+        for (std::size_t i = evacuated; i < 12; i += 3)
+            sum += this->fleet.count_accepted(i);
+        return sum;
+    }
+
+    // Returns the number of requests of open connections that failed.
+    std::size_t count_failed_sessions(time_point from) const
+    {
+        std::size_t sum = 0;
+        for (simulated_request const& one : this->fleet.requests)
+            sum += one.kind == this->feed && one.requested_at >= from &&
+                   one.status == completion_status::failed;
+        return sum;
+    }
+};
+
+}  // namespace
+
+SECTION(connection_fleet_during_an_evacuation, evacuation_fixture){};
+
+// Load pattern: a third of the entries cannot read the store when the
+// evacuation begins, and get the list from peers.
+TEST(connection_fleet_during_an_evacuation,
+     opens_nothing_there_while_entries_cannot_read_the_store)
+{
+    this->fleet.cut_off_entries = {0, 4};
+    this->fleet.run_for(1s);
+    time_point const start = this->fleet.now();
+    std::size_t const resets_before = this->fleet.resets;
+    this->set_evacuated({evacuated});
+    this->fleet.run_for(limit);
+    std::size_t const opened = this->count_opened();
+    this->fleet.run_for(10s);
+    UNSIGNED_LONGS_EQUAL(opened, this->count_opened());
+    UNSIGNED_LONGS_EQUAL(0, this->count_failed_sessions(start));
+    UNSIGNED_LONGS_EQUAL(resets_before, this->fleet.resets);
+    CHECK(this->fleet.earned_share(start, start + 13s) > 0.95);
+    this->set_evacuated({});
+    this->fleet.run_for(limit);
+    std::size_t const opened_before = this->count_opened();
+    this->fleet.run_for(2s);
+    CHECK(this->count_opened() > opened_before + 20);
+}
+
+// Load pattern: a third of the entries reach neither the store nor a peer. They
+// don't learn of the evacuation, but the notified targets refuse what they
+// offer.
+TEST(connection_fleet_during_an_evacuation,
+     opens_nothing_there_from_isolated_entries)
+{
+    this->fleet.isolated_entries = {0, 4};
+    this->fleet.run_for(500ms);
+    time_point const start = this->fleet.now();
+    this->set_evacuated({evacuated});
+    this->fleet.run_for(limit);
+    CHECK(!this->fleet.entry_core(4).configuration().is_evacuated("z1"));
+    std::size_t const opened = this->count_opened();
+    this->fleet.run_for(10s);
+    UNSIGNED_LONGS_EQUAL(opened, this->count_opened());
+    CHECK(this->fleet.earned_share(start, start + 13s) > 0.95);
+    this->fleet.isolated_entries = {};
+    this->set_evacuated({});
+    this->fleet.run_for(limit);
+    std::size_t const opened_before = this->count_opened();
+    this->fleet.run_for(2s);
+    CHECK(this->count_opened() > opened_before + 20);
+}
+
+// A restarted target doesn't know of the evacuation until the next notice.
+TEST(connection_fleet_during_an_evacuation,
+     notifies_restarted_targets_within_a_second)
+{
+    this->fleet.isolated_entries = {0, 4};
+    this->fleet.run_for(500ms);
+    this->set_evacuated({evacuated});
+    this->fleet.run_for(limit);
+    for (std::size_t i = evacuated; i < 12; i += 3) {
+        this->fleet.kill_target(i);
+        this->fleet.start_target(i);
+    }
+    this->fleet.run_for(1200ms);
+    std::size_t const opened = this->count_opened();
+    this->fleet.run_for(3s);
+    UNSIGNED_LONGS_EQUAL(opened, this->count_opened());
+}
--- a/tests/stories/connection_target_story.cpp
+++ b/tests/stories/connection_target_story.cpp
@@ -750,3 +750,111 @@
     this->offer(this->make_data(1), false);
     UNSIGNED_LONGS_EQUAL(1, this->count<send_to_back_end>());
 }
+
+// ---- evacuation of the data centre --------------------------------------
+
+namespace {
+
+struct with_an_evacuation_notice : a_connection_target
+{
+    static constexpr std::uint64_t noticed = 40;
+
+    void setup() override
+    {
+        this->notify(noticed);
+    }
+
+    void notify(std::uint64_t number)
+    {
+        this->feed(notice_from_entry{{this->members, {number}}});
+    }
+
+    void offer_open_at(std::uint16_t port, std::uint64_t number,
+                       std::uint8_t copy = 0)
+    {
+        request_attributes attributes = this->make_attributes();
+        attributes.config_generation = {number};
+        this->feed(entry_offer{
+            other_entry,
+            {{++this->last_query}, this->members, 2, true, attributes, {}},
+            this->make_opening(port, copy)});
+    }
+
+    std::size_t count_refusals() const
+    {
+        std::size_t sum = 0;
+        for (connection_target_effect const& one : this->effects)
+            if (auto const* note = std::get_if<tracking_note>(&one))
+                sum += note->result == tracking_result::evacuated &&
+                       note->entry == other_entry;
+        return sum;
+    }
+};
+
+}  // namespace
+
+SECTION(connection_target_in_an_evacuated_data_centre,
+        with_an_evacuation_notice){};
+
+// An entry that neither the store nor a peer reaches keeps opening connections
+// by its old catalog.
+TEST(connection_target_in_an_evacuated_data_centre,
+     refuses_a_connection_from_an_outdated_entry)
+{
+    this->offer_open_at(1, noticed - 1);
+    CHECK(this->replies_with(offer_verdict::leaving));
+    UNSIGNED_LONGS_EQUAL(0, this->count<send_to_back_end>());
+    UNSIGNED_LONGS_EQUAL(1, this->count_refusals());
+}
+
+TEST(connection_target_in_an_evacuated_data_centre,
+     refuses_a_connection_without_a_generation)
+{
+    this->offer_open(1);
+    CHECK(this->replies_with(offer_verdict::leaving));
+}
+
+TEST(connection_target_in_an_evacuated_data_centre,
+     accepts_a_connection_from_an_entry_that_knows_its_end)
+{
+    this->offer_open_at(1, noticed + 1);
+    CHECK(this->replies_with(offer_verdict::taken));
+    this->offer_open_at(2, noticed);
+    CHECK(this->replies_with(offer_verdict::taken));
+}
+
+// Notifiers have different generations, and notices may arrive out of order.
+TEST(connection_target_in_an_evacuated_data_centre, keeps_the_newest_notice)
+{
+    this->notify(noticed - 10);
+    this->offer_open_at(1, noticed - 5);
+    CHECK(this->replies_with(offer_verdict::leaving));
+}
+
+TEST(connection_target_in_an_evacuated_data_centre,
+     accepts_a_copy_of_an_accepted_packet)
+{
+    this->offer_open_at(1, noticed);
+    this->offer_open_at(1, noticed - 1, 1);
+    CHECK(this->replies_with(offer_verdict::taken));
+    CHECK(this->sends_to_back_end("open 1"));
+}
+
+TEST(connection_target_in_an_evacuated_data_centre, serves_open_connections)
+{
+    this->offer_open_at(1, noticed);
+    this->accept(1);
+    this->notify(noticed + 10);
+    this->offer_data(1);
+    CHECK(this->sends_to_back_end("data 1"));
+}
+
+SECTION(connection_target_that_gets_a_notice, a_connection_target){};
+
+// The address may have belonged to a target of the other service.
+TEST(connection_target_that_gets_a_notice, ignores_one_for_another_service)
+{
+    this->feed(notice_from_entry{{make_service_id("archive"), {40}}});
+    this->offer_open(1);
+    CHECK(this->replies_with(offer_verdict::taken));
+}
