--- a/src/placement/answer_times.cpp
+++ b/src/placement/answer_times.cpp
@@ -21,6 +21,13 @@
     return compute_wait(estimate, this->limits);
 }
 
+std::optional<duration> answer_times::find_mean(peer_address target) const
+{
+    auto const found = this->estimates.find(target);
+    return found == this->estimates.end() ? std::nullopt
+                                          : std::optional{found->second.mean};
+}
+
 void answer_times::sweep(time_point now)
 {
     sweep_incrementally(
--- a/src/placement/answer_times.hpp
+++ b/src/placement/answer_times.hpp
@@ -7,6 +7,7 @@
 #include "base/answer_time.hpp"
 
 #include <cstddef>
+#include <optional>
 #include <unordered_map>
 
 namespace lagoon {
@@ -25,6 +26,9 @@
     // expected to take as long as the others.
     duration wait_for(peer_address target) const;
 
+    // The mean answer time of the target, if it has answered recently.
+    std::optional<duration> find_mean(peer_address target) const;
+
     // Removes expired estimates from part of the table; to be called each tick.
     void sweep(time_point now);
 
--- a/src/placement/placer.hpp
+++ b/src/placement/placer.hpp
@@ -174,6 +174,9 @@
 
     std::size_t size() const;
 
+    // The mean time that the target takes to answer queries, if known.
+    std::optional<duration> find_answer_time(peer_address target) const;
+
 private:
     enum class candidate_state : std::uint8_t
     {
@@ -264,7 +267,8 @@
                                  placement_candidate const& owner,
                                  offer_reply const& answer);
     void update_hints(offer_reply const& answer, peer_address target,
-                      target_hints& hints, time_point now) const;
+                      target_hints& hints, bool is_opening,
+                      time_point now) const;
     bool is_current(query_deadline const& deadline) const;
     query_deadline take_first_deadline(time_point now);
     void drop_stale_deadlines(time_point now);
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -326,9 +326,13 @@
 // nothing about the address.
 template <placement_policy P>
 void placer<P>::update_hints(offer_reply const& answer, peer_address target,
-                             target_hints& hints, time_point now) const
+                             target_hints& hints, bool is_opening,
+                             time_point now) const
 {
-    hints.record_load(target, answer.load, answer.slots, now);
+    bool const is_placed =
+        is_opening && detail::is_owner_verdict(answer.verdict);
+    hints.record_load(target, answer.load, answer.slots, now,
+                      is_placed ? 1U : 0U);
     bool const is_unusable = answer.verdict == offer_verdict::no_answer ||
                              answer.verdict == offer_verdict::leaving;
     if (is_unusable)
@@ -351,7 +355,9 @@
     this->queries.erase(sent);
     this->times.record(query.target, now - query.sent_at, now);
     auto const found = this->placements.find(query.endpoints);
-    this->update_hints(answer, query.target, hints, now);
+    bool const is_opening = found != this->placements.end() &&
+                            found->second.request.packet.is_opening;
+    this->update_hints(answer, query.target, hints, is_opening, now);
     if (found == this->placements.end())
         return {};
     placement_outcomes outcomes;
@@ -523,4 +529,10 @@
     return this->placements.size();
 }
 
+template <placement_policy P>
+std::optional<duration> placer<P>::find_answer_time(peer_address target) const
+{
+    return this->times.find_mean(target);
+}
+
 }  // namespace lagoon
--- a/src/placement/target_hints.cpp
+++ b/src/placement/target_hints.cpp
@@ -9,6 +9,10 @@
 constexpr duration hint_lifetime = std::chrono::seconds{60};  // after last use
 constexpr std::uint32_t max_doublings = 4;  // min_ to max_avoidance
 
+// A target is queried some ten times a second. A single report is 0 or full.
+constexpr double mean_load_weight = 0.2;
+constexpr duration mean_load_lifetime = std::chrono::seconds{1};
+
 // Returns how long a reported load is used.
 duration compute_load_lifetime(target_hint const& hint)
 {
@@ -22,9 +26,19 @@
 }  // namespace
 
 void target_hints::record_load(peer_address target, std::uint32_t load,
-                               std::uint32_t slots, time_point now)
+                               std::uint32_t slots, time_point now,
+                               std::uint32_t placed)
 {
-    this->hints.insert_or_assign(target, target_hint{load, slots, now, 0, {}});
+    target_hint const before = this->hints[target];
+    bool const is_first =
+        before.slots == 0 || now - before.reported_at > mean_load_lifetime;
+    double const found = load - std::min(load, placed);
+    double const mean =
+        is_first
+            ? found
+            : before.mean_load + mean_load_weight * (found - before.mean_load);
+    this->hints.insert_or_assign(target,
+                                 target_hint{load, slots, now, 0, {}, mean});
 }
 
 void target_hints::record_timeout(peer_address target, time_point now)
@@ -75,6 +89,13 @@
     return static_cast<double>(found->second.load) / found->second.slots;
 }
 
+std::optional<target_hint> target_hints::find(peer_address target) const
+{
+    auto const found = this->hints.find(target);
+    return found == this->hints.end() ? std::nullopt
+                                      : std::optional{found->second};
+}
+
 void target_hints::sweep(time_point now)
 {
     std::erase_if(this->hints, [now](auto const& hint) {
--- a/src/placement/target_hints.hpp
+++ b/src/placement/target_hints.hpp
@@ -9,6 +9,7 @@
 
 #include "base/values.hpp"
 
+#include <optional>
 #include <unordered_map>
 
 namespace lagoon {
@@ -22,6 +23,10 @@
     time_point reported_at = {};
     std::uint32_t timeout_count = 0;  // consecutive queries without an answer
     time_point avoided_until = {};
+
+    // Smoothed over the reports, without the connection that each report
+    // answered and without connections placed since.
+    double mean_load = 0;
     auto operator<=>(target_hint const&) const = default;
 };
 
@@ -43,9 +48,11 @@
 class target_hints
 {
 public:
-    // Stores the load that a target reported.
+    // Stores the load that a target reported; `placed` of it was added by the
+    // connection that the target accepted with the report.
     void record_load(peer_address target, std::uint32_t load,
-                     std::uint32_t slots, time_point now);
+                     std::uint32_t slots, time_point now,
+                     std::uint32_t placed = 0);
     // Counts a query without an answer and avoids the target for a while.
     void record_timeout(peer_address target, time_point now);
 
@@ -69,6 +76,9 @@
     // The same per slot; 0 if unknown or the report is too old.
     double load_per_slot(peer_address target, time_point now) const;
 
+    // Returns what is known of a target, whatever its age.
+    std::optional<target_hint> find(peer_address target) const;
+
     // Removes targets without a recent report or avoidance.
     void sweep(time_point now);
 
