Prefer home targets behind prefer_home_data_centre

Candidates of an opening packet and of a search for an owner are ordered by data_centre_choice when the entry's setting is on; the default is off, and the order is then that of the ranking. Placement notes say where a connection went and why, and status notes when the condition of a service at home changes; both are in the log and the metrics.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -9,6 +9,7 @@
 //   connection_entry   the aggregate: `on(event, now)` returns effects
 #pragma once
 
+#include "entry/home_preference.hpp"
 #include "entry/owner_candidates.hpp"
 #include "flow/ranking.hpp"
 #include "membership/adoption.hpp"
@@ -96,6 +97,7 @@
     duration took = {};
     generation config_generation = {};  // configuration used
     duration platform_age = {};
+    placement_site site = placement_site::not_chosen;  // of a placed connection
     auto operator<=>(placement_note const&) const = default;
 };
 
@@ -105,14 +107,17 @@
     platform_regained,
     paused,         // the process did not run for a while
     target_lapsed,  // removed: its key expired without an announcement
-    table_full      // no room to cache further owners
+    table_full,     // no room to cache further owners
+    home_has_room,  // new connections of a service stay in the data centre
+    home_full,      // a share of them leaves it
+    home_empty      // all leave: it has no usable target of the service
 };
 
 // Logs a change in the state of the entry or of its view of the fleet.
 struct status_change_note
 {
     status_change change = status_change::platform_lost;
-    std::string subject = {};  // name of the target, if any
+    std::string subject = {};  // name of the target or service, if any
     duration platform_age = {};
     auto operator<=>(status_change_note const&) const = default;
 };
@@ -137,6 +142,10 @@
     duration max_hold_time = std::chrono::milliseconds{190};
     std::size_t max_held_packets = 4096;
 
+    // Places new connections in the entry's data centre while it has room.
+    bool prefer_home_data_centre = false;
+    departure_limits departure = {};
+
     auto operator<=>(connection_entry_settings const&) const = default;
 };
 
@@ -160,6 +169,9 @@
     duration platform_age(time_point now) const;
     std::size_t connection_count() const;
 
+    // The share of new connections that leave the data centre, by service.
+    std::vector<service_departure> departures() const;
+
 private:
     // When an opening packet was received, and when the caller first sent the
     // request.
@@ -205,9 +217,13 @@
     void place(effects_type& effects, connection_packet const& packet,
                open_times times, std::optional<peer_address> returned_by,
                time_point now);
-    std::vector<target_record const*> select_candidates(
-        service_part const& part, connection_endpoints const& endpoints,
-        std::optional<peer_address> returned_by, time_point now) const;
+    std::vector<target_record const*>
+    select_candidates(service_part const& part, route_record const& route,
+                      connection_endpoints const& endpoints,
+                      std::optional<peer_address> returned_by,
+                      time_point now) const;
+    void update_preference(effects_type& effects, time_point now);
+    placement_site find_site(owner_found const& found) const;
     void search(effects_type& effects, connection_packet const& packet,
                 std::optional<peer_address> preferred,
                 std::optional<peer_address> returned_by, time_point now);
@@ -259,6 +275,7 @@
     target_hints hints = {};
     owner_table owners;
     placer<P> connection_placer;
+    home_preference preference;
     std::deque<held_packet> held = {};
     refusal_history refusals = {};
     search_table searches = {};
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -15,6 +15,19 @@
     return ages[std::min<std::size_t>(retransmission_count, ages.size() - 1)];
 }
 
+inline status_change to_status_change(home_condition condition)
+{
+    switch (condition) {
+    case home_condition::has_room:
+        return status_change::home_has_room;
+    case home_condition::full:
+        return status_change::home_full;
+    case home_condition::empty:
+        break;
+    }
+    return status_change::home_empty;
+}
+
 }  // namespace detail
 
 template <random_source R, placement_policy P>
@@ -22,6 +35,8 @@
                                          R random, time_point now)
     : settings(settings), member(settings.membership, std::move(random), now),
       owners(settings.owners), connection_placer(settings.placement),
+      preference(settings.prefer_home_data_centre,
+                 settings.membership.data_centre, settings.departure),
       last_tick(now)
 {
 }
@@ -76,6 +91,12 @@
     return this->owners.size();
 }
 
+template <random_source R, placement_policy P>
+std::vector<service_departure> connection_entry<R, P>::departures() const
+{
+    return this->preference.list_departures();
+}
+
 template <random_source R, placement_policy P>
 placement_note
 connection_entry<R, P>::make_note(placement_result result,
@@ -215,9 +236,10 @@
     // A retransmission goes to the target that accepted the first packet, even
     // if that target is leaving.
     std::vector<target_record const*> const ranked =
-        is_retransmission ? rank_owners(*part, make_flow_key(packet.endpoints))
-                          : this->select_candidates(*part, packet.endpoints,
-                                                    returned_by, now);
+        is_retransmission
+            ? rank_owners(*part, make_flow_key(packet.endpoints))
+            : this->select_candidates(*part, *route, packet.endpoints,
+                                      returned_by, now);
     std::vector<placement_candidate> targets;
     targets.reserve(ranked.size());
     for (target_record const* target : ranked)
@@ -246,17 +268,55 @@
 // unless all are avoided.
 template <random_source R, placement_policy P>
 std::vector<target_record const*> connection_entry<R, P>::select_candidates(
-    service_part const& part, connection_endpoints const& endpoints,
+    service_part const& part, route_record const& route,
+    connection_endpoints const& endpoints,
     std::optional<peer_address> returned_by, time_point now) const
 {
+    flow_key const flow = make_flow_key(endpoints);
+    std::size_t const limit = this->preference.is_enabled()
+                                  ? part.targets.size()
+                                  : detail::max_candidates;
     std::vector<target_record const*> const ranked =
-        rank_targets_if(part, make_flow_key(endpoints), detail::max_candidates,
+        rank_targets_if(part, flow, limit,
                         [this, returned_by, now](target_record const& target) {
                             return target.address != returned_by &&
                                    !this->hints.is_avoided(target.address, now);
                         });
-    return ranked.empty() ? rank_targets(part, make_flow_key(endpoints))
-                          : ranked;
+    return this->preference.order_candidates(
+        part.id, ranked.empty() ? rank_targets(part, flow) : ranked, flow,
+        route.objective, detail::max_candidates, this->hints, now);
+}
+
+// Passes on what is known of the targets. Visits all of them, so at most once
+// per update interval.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::update_preference(effects_type& effects,
+                                               time_point now)
+{
+    if (!this->preference.is_due(now))
+        return;
+    auto const find_answer_time = [this](peer_address target) {
+        return this->connection_placer.find_answer_time(target);
+    };
+    for (service_departure const& change :
+         this->preference.update(this->directory.services(), this->config,
+                                 this->hints, find_answer_time, now))
+        effects.push_back(
+            status_change_note{detail::to_status_change(change.condition),
+                               change.service, this->member.platform_age(now)});
+}
+
+template <random_source R, placement_policy P>
+placement_site connection_entry<R, P>::find_site(owner_found const& found) const
+{
+    service_part const* part = this->directory.find(found.service);
+    route_record const* route =
+        this->config.find_route(found.packet.endpoints.service);
+    if (!found.packet.is_opening || part == nullptr || route == nullptr)
+        return placement_site::not_chosen;
+    return this->preference.find_site(*part, found.target,
+                                      make_flow_key(found.packet.endpoints),
+                                      route->objective);
 }
 
 // Searches for the owner of an open connection among the targets of all
@@ -278,7 +338,7 @@
     search.remaining = detail::list_owner_candidates(
         detail::list_searched_services(this->directory, *route,
                                        packet.endpoints),
-        make_flow_key(packet.endpoints));
+        make_flow_key(packet.endpoints), this->preference);
     detail::move_candidates(search.remaining, preferred, returned_by);
     if (search.remaining.empty())
         effects.push_back(this->make_note(placement_result::owner_lost,
@@ -444,6 +504,7 @@
     note.load = found.load;
     note.query_count = found.query_count;
     note.timeout_count = found.timeout_count;
+    note.site = this->find_site(found);
     effects.push_back(note);
     for (std::string const& bytes : found.pending_packets)
         effects.push_back(
@@ -658,6 +719,7 @@
     this->owners.sweep(now);
     this->searches.sweep(now);
     this->hints.sweep(now);
+    this->update_preference(effects, now);
 }
 
 template <random_source R, placement_policy P>
--- a/src/entry/owner_candidates.hpp
+++ b/src/entry/owner_candidates.hpp
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "connection/packet.hpp"
+#include "entry/home_preference.hpp"
 #include "flow/ranking.hpp"
 #include "placement/policies.hpp"
 #include "placement/target_directory.hpp"
@@ -98,12 +99,15 @@
 };
 
 inline std::vector<ranked_service>
-rank_services(std::vector<service_part const*> const& services, flow_key flow)
+rank_services(std::vector<service_part const*> const& services, flow_key flow,
+              home_preference const& preference)
 {
     std::vector<ranked_service> ranked;
     ranked.reserve(services.size());
     for (service_part const* part : services)
-        ranked.push_back({part->id, rank_owners(*part, flow)});
+        ranked.push_back({part->id, preference.order_owners(
+                                        part->id, rank_owners(*part, flow),
+                                        flow, default_preferred_count)});
     return ranked;
 }
 
@@ -124,13 +128,14 @@
 // of the route's services come first, and other services follow with the next
 // packet.
 inline std::vector<placement_candidate>
-list_owner_candidates(searched_services const& services, flow_key flow)
+list_owner_candidates(searched_services const& services, flow_key flow,
+                      home_preference const& preference)
 {
     constexpr std::size_t preferred = default_preferred_count;
     std::vector<ranked_service> const own =
-        rank_services(services.of_route, flow);
+        rank_services(services.of_route, flow, preference);
     std::vector<ranked_service> const others =
-        rank_services(services.others, flow);
+        rank_services(services.others, flow, preference);
     std::vector<placement_candidate> candidates;
     append_candidates(candidates, own, 0, preferred);
     append_candidates(candidates, own, preferred, max_candidates);
--- a/src/programs/connection_entry_program.hpp
+++ b/src/programs/connection_entry_program.hpp
@@ -66,6 +66,7 @@
     void perform(report_failure const& effect);
     void perform(placement_note const& effect);
     void perform(status_change_note const& effect);
+    std::string make_metrics() const;
     http_reply make_reply(http_request const& request);
 
     void reload(std::string const& text);
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -51,6 +51,7 @@
                        .exchange = settings.exchange,
                        .seeds = make_seed_addresses(settings),
                        .timing = make_membership_timing(settings.change_limit)};
+    role.prefer_home_data_centre = settings.prefer_home_data_centre;
     return role;
 }
 
@@ -271,6 +272,19 @@
     this->log.on_tick(now);
 }
 
+template <packet_format Format, platform_reader Reader>
+std::string connection_entry_program<Format, Reader>::make_metrics() const
+{
+    double largest = 0;
+    for (service_departure const& one : this->role.departures())
+        largest = std::max(largest, one.share);
+    return this->metrics.make_exposition()
+        .add_gauge("lagoon_connections",
+                   static_cast<double>(this->role.connection_count()))
+        .add_gauge("lagoon_departing_share", largest)
+        .get_text();
+}
+
 template <packet_format Format, platform_reader Reader>
 http_reply connection_entry_program<Format, Reader>::make_reply(
     http_request const& request)
@@ -279,13 +293,7 @@
         return {this->role.is_ready(read_clock()) ? 200U : 503U, "text/plain",
                 "", 0};
     if (request.path == "/metrics")
-        return {
-            200, "text/plain; version=0.0.4",
-            this->metrics.make_exposition()
-                .add_gauge("lagoon_connections",
-                           static_cast<double>(this->role.connection_count()))
-                .get_text(),
-            0};
+        return {200, "text/plain; version=0.0.4", this->make_metrics(), 0};
     return {404, "text/plain", "unknown path; use GET /ready or GET /metrics\n",
             0};
 }
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -39,6 +39,7 @@
     peer_address platform = {};            // TCP, HTTP
     std::vector<peer_address> seeds = {};  // peers; only the IPs are used
     duration change_limit = {};  // deadline for applying a platform change
+    bool prefer_home_data_centre = false;  // optional in the file
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
--- a/src/programs/connection_telemetry.cpp
+++ b/src/programs/connection_telemetry.cpp
@@ -73,6 +73,29 @@
         return "target_lapsed";
     case status_change::table_full:
         return "table_full";
+    case status_change::home_has_room:
+        return "home_has_room";
+    case status_change::home_full:
+        return "home_full";
+    case status_change::home_empty:
+        return "home_empty";
+    }
+    return "?";
+}
+
+char const* to_text(placement_site value)
+{
+    switch (value) {
+    case placement_site::not_chosen:
+        return "not_chosen";
+    case placement_site::home:
+        return "home";
+    case placement_site::home_busy:
+        return "elsewhere_home_busy";
+    case placement_site::home_full:
+        return "elsewhere_home_full";
+    case placement_site::home_empty:
+        return "elsewhere_home_empty";
     }
     return "?";
 }
@@ -101,8 +124,10 @@
 void connection_metrics::record(placement_note const& note)
 {
     ++this->placement_counts[static_cast<std::size_t>(note.result)];
-    if (note.result == placement_result::placed)
-        this->placing_time.add(note.took);
+    if (note.result != placement_result::placed)
+        return;
+    this->placing_time.add(note.took);
+    ++this->site_counts[static_cast<std::size_t>(note.site)];
 }
 
 void connection_metrics::record(tracking_note const& note)
@@ -125,6 +150,8 @@
     metrics
         .add_counters("lagoon_placements_total", "result",
                       name_counts<placement_result>(this->placement_counts))
+        .add_counters("lagoon_placement_sites_total", "site",
+                      name_counts<placement_site>(this->site_counts))
         .add_counters("lagoon_connections_total", "result",
                       name_counts<tracking_result>(this->tracking_counts))
         .add_counters("lagoon_failures_total", "kind",
@@ -146,6 +173,8 @@
         .with("platform_age_ms", note.platform_age);
     if (note.target != peer_address{})
         line.with("target", note.target).with("load", note.load);
+    if (note.site != placement_site::not_chosen)
+        line.with("site", to_text(note.site));
     if (note.query_count > 0)
         line.with("asked", note.query_count).with("silent", note.timeout_count);
     log.write(line);
--- a/src/programs/connection_telemetry.hpp
+++ b/src/programs/connection_telemetry.hpp
@@ -22,6 +22,7 @@
 char const* to_text(placement_result value);
 char const* to_text(tracking_result value);
 char const* to_text(status_change value);
+char const* to_text(placement_site value);
 
 // ---- connection_metrics -------------------------------------------------
 
@@ -41,7 +42,11 @@
     static constexpr std::size_t tracking_results =
         static_cast<std::size_t>(tracking_result::table_full) + 1;
 
+    static constexpr std::size_t placement_sites =
+        static_cast<std::size_t>(placement_site::home_empty) + 1;
+
     std::array<std::uint64_t, placement_results> placement_counts = {};
+    std::array<std::uint64_t, placement_sites> site_counts = {};
     std::array<std::uint64_t, tracking_results> tracking_counts = {};
     std::uint64_t failure_count = 0;
     latency_histogram placing_time = {};  // until a target answered
