--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -144,6 +144,8 @@
         connection_entry_settings settings = this->entry_settings;
         settings.membership.self = {1000 + index};
         settings.membership.exchange = node.address;
+        settings.membership.data_centre =
+            "z" + std::to_string(node.data_centre);
         for (std::size_t i = 0; i < std::min<std::size_t>(3, index); ++i)
             settings.membership.seeds.push_back(this->entries[i].address);
         settings.membership.timing.is_platform_linearizable = true;
@@ -289,6 +291,14 @@
                                data_centres);
     }
 
+    // The same with all callers in one data centre.
+    void add_load_in(std::size_t kind, double per_second, duration span,
+                     int data_centre)
+    {
+        this->schedule_arrival(kind, per_second, this->time + span, 1,
+                               data_centre);
+    }
+
     // Starts callers that keep their connections open for `span` from now on.
     // Each makes a request, waits for the answer and pauses for up to twice
     // `mean_pause`. A caller whose request fails opens another connection.
@@ -395,9 +405,11 @@
     std::set<std::size_t> cut_off_entries = {};  // cannot read the platform
     bool is_platform_up = true;
     std::size_t platform_calls = 0;
-    std::size_t resets = 0;             // received by callers
-    std::size_t owner_queries = 0;      // for the owner of a connection
-    std::size_t back_end_resets = 0;    // requests reset by back ends
+    std::size_t resets = 0;           // received by callers
+    std::size_t owner_queries = 0;    // for the owner of a connection
+    std::size_t back_end_resets = 0;  // requests reset by back ends
+    std::size_t offers = 0;           // packets sent by entries to targets
+    std::size_t offers_between_data_centres = 0;  // of these
     std::size_t misrouted_packets = 0;  // opens received by a wrong service
     std::size_t clients_per_data_centre = 25;  // addresses of callers
     bool is_recording_notes = false;
@@ -549,20 +561,23 @@
     // -- callers
 
     void schedule_arrival(std::size_t kind, double per_second, time_point until,
-                          int data_centres)
+                          int data_centres, int first_data_centre = 0)
     {
         double const interval =
             -std::log(1 - this->draw_fraction()) / per_second;
         duration const delay{static_cast<std::int64_t>(interval * 1e6)};
         if (this->time + delay >= until)
             return;
-        this->schedule(delay, [this, kind, per_second, until, data_centres] {
+        this->schedule(delay, [this, kind, per_second, until, data_centres,
+                               first_data_centre] {
             int const data_centre =
+                first_data_centre +
                 static_cast<int>(this->draw_fraction() * data_centres);
             this->requests.push_back(
                 {kind, this->time, {}, completion_status::pending, 0, 0});
             this->begin_attempt(this->requests.size() - 1, data_centre);
-            this->schedule_arrival(kind, per_second, until, data_centres);
+            this->schedule_arrival(kind, per_second, until, data_centres,
+                                   first_data_centre);
         });
     }
 
@@ -904,6 +919,9 @@
         std::size_t const target = effect.to.ip - target_ip;
         if (target >= this->targets.size() || this->draw_loss())
             return;
+        ++this->offers;
+        this->offers_between_data_centres += this->entries[index].data_centre !=
+                                             this->targets[target].data_centre;
         duration const delay =
             this->hop_delay(this->entries[index].data_centre,
                             this->targets[target].data_centre);
