Check each guard of the choice of data centres by a story

A neighbour that is too far away had no story: with the check taken out, all stories passed. The story of a lost data centre passed under strict locality and now allows a tenth of the difference. Each other story was seen to fail with its guard taken out.

--- a/tests/stories/data_centre_story.cpp
+++ b/tests/stories/data_centre_story.cpp
@@ -32,16 +32,23 @@
     std::set<std::string> joining = {};
     duration report_age = {};
     duration round_trip_elsewhere = 2ms;
+    std::set<std::string> far = {};  // 400 ms away
+
+    duration round_trip_to(std::string const& name) const
+    {
+        if (name == "z0")
+            return 200us;
+        return this->far.contains(name) ? 400ms : this->round_trip_elsewhere;
+    }
 
     std::vector<target_observation> list_targets() const
     {
         std::vector<target_observation> targets;
         for (auto const& [name, load] : this->loads)
             for (int i = 0; i < 3; ++i)
-                targets.push_back(
-                    {name, 2, this->joining.contains(name), load,
-                     this->report_age,
-                     name == "z0" ? 200us : this->round_trip_elsewhere});
+                targets.push_back({name, 2, this->joining.contains(name), load,
+                                   this->report_age,
+                                   this->round_trip_to(name)});
         return targets;
     }
 
@@ -147,6 +154,19 @@
     CHECK(counts["z2"] > 500);
 }
 
+// Guards against connections that leave for a data centre with room but so far
+// away that they would wait longer.
+TEST(data_centre_choice, sends_nothing_to_a_neighbour_too_far_away)
+{
+    this->loads["z0"] = 4;
+    this->far.insert("z1");
+    this->observe_for(2s);
+    std::map<std::string, int> counts =
+        this->count_first(make_part({"z0", "z1", "z2", "z3"}));
+    CHECK(counts["z1"] < 40);
+    CHECK(counts["z2"] > 500);
+}
+
 // Guards against an exchange of load between data centres that are all full.
 TEST(data_centre_choice, keeps_connections_when_all_are_full)
 {
@@ -364,7 +384,7 @@
                total;
     }
 
-    void run(duration span, bool uses_choice)
+    void pass(duration span, bool uses_choice)
     {
         constexpr double seconds = 0.05;
         for (duration passed{}; passed < span; passed += update_step) {
@@ -420,7 +440,7 @@
 // their data centre to pass while the others are idle.
 TEST(four_data_centres, wait_no_longer_than_with_an_even_spread)
 {
-    this->run(65s, true);
+    this->pass(65s, true);
     std::printf("fluid: wait %.3f ms, left %.3f\n", 1e3 * this->mean_wait(),
                 this->left / this->arrived);
     // An even spread has no queue at this mean load; 2 ms is a tenth of the
@@ -432,7 +452,7 @@
 TEST(four_data_centres, change_their_shares_within_bounds)
 {
     departure_limits const limits{};
-    this->run(65s, true);
+    this->pass(65s, true);
     CHECK(this->largest_rise <= limits.rise_per_second * 0.05 + 1e-9);
     CHECK(this->largest_fall <= limits.fall_per_second * 0.05 + 1e-9);
     CHECK(this->largest_rise > 0);
@@ -633,15 +653,17 @@
     };
     fleet_outcome const today = run_fleet("lost", false, load);
     fleet_outcome const home = run_fleet("lost", true, load);
-    CHECK(home.earned >= today.earned - 0.01);
+    CHECK(home.earned >= today.earned - 0.001);
 }
 
 // Guards against searches that begin in another order than placing did: an entry
 // that has no cached owner must find it with few queries.
 TEST(fleet_that_prefers_home, finds_owners_again_after_an_entry_restart)
 {
+    constexpr std::size_t sessions = 140;
+    constexpr std::size_t max_owner_queries = 3 * sessions;
     auto const load = [](a_fleet& one) {
-        one.fleet.add_sessions(one.short_kind, 140, 300ms, 5s, 4);
+        one.fleet.add_sessions(one.short_kind, sessions, 300ms, 5s, 4);
         one.fleet.run_for(3s);
         for (std::size_t i = 0; i < 4; ++i) {
             one.fleet.kill_entry(i);
@@ -651,7 +673,7 @@
     };
     fleet_outcome const today = run_fleet("restart", false, load);
     fleet_outcome const home = run_fleet("restart", true, load);
-    CHECK(home.owner_queries <= 3 * 140);
+    CHECK(home.owner_queries <= max_owner_queries);
     CHECK(home.earned >= today.earned - 0.01);
 }
 
