--- a/src/programs/connection_settings.cpp
+++ b/src/programs/connection_settings.cpp
@@ -37,7 +37,8 @@
     checker.check_keys(
         object, {"name", "data_centre", "packets", "exchange", "control",
                  "ready", "metrics", "platform", "seeds", "change_limit_ms",
-                 "evacuation_limit_ms", "log_level", "log_lines_per_second"});
+                 "evacuation_limit_ms", "prefer_home_data_centre", "log_level",
+                 "log_lines_per_second"});
     entry_process_settings settings{
         .name = checker.read_text(object, "name"),
         .data_centre = checker.read_text(object, "data_centre"),
@@ -50,6 +51,9 @@
                                               std::chrono::milliseconds{1}),
         .evacuation_limit =
             read_optional_limit(checker, object, "evacuation_limit_ms"),
+        .prefer_home_data_centre =
+            checker.has(object, "prefer_home_data_centre") &&
+            checker.read_flag(object, "prefer_home_data_centre"),
         .log = read_log(checker, object),
     };
     for (json_node const& item : checker.read_list(object, "seeds"))
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -40,6 +40,7 @@
     std::vector<peer_address> seeds = {};  // peers; only the IPs are used
     duration change_limit = {};      // deadline for applying a platform change
     duration evacuation_limit = {};  // the same for evacuations; 0: none
+    bool prefer_home_data_centre = false;  // optional in the file
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
--- a/src/programs/connection_telemetry.hpp
+++ b/src/programs/connection_telemetry.hpp
@@ -22,6 +22,7 @@
 char const* to_text(placement_result value);
 char const* to_text(tracking_result value);
 char const* to_text(status_change value);
+char const* to_text(placement_site value);
 
 // ---- connection_metrics -------------------------------------------------
 
@@ -42,9 +43,13 @@
     static constexpr std::size_t tracking_results =
         static_cast<std::size_t>(tracking_result::table_full) + 1;
     static constexpr std::size_t status_changes =
-        static_cast<std::size_t>(status_change::evacuation_ended) + 1;
+        static_cast<std::size_t>(status_change::home_empty) + 1;
+
+    static constexpr std::size_t placement_sites =
+        static_cast<std::size_t>(placement_site::home_empty) + 1;
 
     std::array<std::uint64_t, placement_results> placement_counts = {};
+    std::array<std::uint64_t, placement_sites> site_counts = {};
     std::array<std::uint64_t, tracking_results> tracking_counts = {};
     std::array<std::uint64_t, status_changes> status_change_counts = {};
     std::uint64_t failure_count = 0;
