Reset connections that no living back end holds

Cause: after a power failure, callers that keep connections open find out one by one that the back end of a connection is gone, and wait until their deadline each time. A connection that every listed target denies is reset, if the list was read after its packet arrived and is known to be whole (list_confirmation). A target denies only if its table holds every connection of its back end (table_completeness). Behind the entry's setting reset_lost_connections.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -12,6 +12,7 @@
 #include "entry/owner_candidates.hpp"
 #include "flow/ranking.hpp"
 #include "membership/adoption.hpp"
+#include "placement/connection_locator.hpp"
 #include "placement/owner_table.hpp"
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
@@ -41,6 +42,13 @@
     auto operator<=>(answer_from_target const&) const = default;
 };
 
+struct locate_answer
+{
+    peer_address from = {};
+    locate_reply reply = {};
+    auto operator<=>(locate_answer const&) const = default;
+};
+
 // The seed peers in the settings have changed.
 struct seeds_changed
 {
@@ -49,9 +57,10 @@
 };
 
 using connection_entry_event =
-    std::variant<packet_from_caller, answer_from_target, digest_packet,
-                 update_packet, change_request_packet, change_received,
-                 change_unavailable, clock_tick, stop_requested, seeds_changed>;
+    std::variant<packet_from_caller, answer_from_target, locate_answer,
+                 digest_packet, update_packet, change_request_packet,
+                 change_received, change_unavailable, clock_tick,
+                 stop_requested, seeds_changed>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -79,6 +88,7 @@
     dropped,   // held too long, or too many are; the caller retransmits it
     owner_found,  // a search found the owner of an open connection
     owner_lost,   // dropped: no target was found to own the connection
+    lost,         // reset: no living back end holds the connection
     returned      // a target returned the packet: it cannot use it
 };
 
@@ -118,9 +128,10 @@
 };
 
 using connection_entry_effect =
-    std::variant<send_offer, reset_caller, send_digest, send_update,
-                 fetch_from_peer, read_platform, generation_adopted,
-                 report_failure, placement_note, status_change_note>;
+    std::variant<send_offer, send_locate_query, reset_caller, send_digest,
+                 send_update, fetch_from_peer, read_platform,
+                 generation_adopted, report_failure, placement_note,
+                 status_change_note>;
 using connection_entry_effects = std::vector<connection_entry_effect>;
 
 // ---- connection_entry ---------------------------------------------------
@@ -137,6 +148,10 @@
     duration max_hold_time = std::chrono::milliseconds{190};
     std::size_t max_held_packets = 4096;
 
+    // Whether connections that no living back end holds are reset.
+    bool reset_lost_connections = false;
+    locator_limits locator = {};
+
     auto operator<=>(connection_entry_settings const&) const = default;
 };
 
@@ -184,6 +199,8 @@
                   time_point now);
     void on_event(effects_type& effects, answer_from_target const& event,
                   time_point now);
+    void on_event(effects_type& effects, locate_answer const& event,
+                  time_point now);
     void on_event(effects_type& effects, digest_packet const& event,
                   time_point now);
     void on_event(effects_type& effects, update_packet const& event,
@@ -221,6 +238,19 @@
                            placement_note const& note, time_point now);
     void suspend_search(effects_type& effects, placement_failed const& failed,
                         placement_note const& note, time_point now);
+    bool may_locate() const;
+    void locate(effects_type& effects, connection_packet const& packet,
+                time_point now);
+    located_targets list_located_targets() const;
+    void advance_locator(effects_type& effects, time_point now);
+    void handle_outcome(effects_type& effects, send_locate_query const& query,
+                        time_point now);
+    void handle_outcome(effects_type& effects, connection_held const& held,
+                        time_point now);
+    void handle_outcome(effects_type& effects, try_at_target const& trial,
+                        time_point now);
+    void handle_outcome(effects_type& effects, connection_lost const& lost,
+                        time_point now);
     void start_placement(effects_type& effects,
                          placement_request const& request, time_point now);
     void hold(effects_type& effects, connection_packet const& packet,
@@ -262,6 +292,7 @@
     std::deque<held_packet> held = {};
     refusal_history refusals = {};
     search_table searches = {};
+    connection_locator locator;
     bool was_platform_reachable = false;
     bool is_resuming = false;  // after a pause, until the catalog is confirmed
     bool is_owner_table_full = false;
@@ -272,3 +303,4 @@
 }  // namespace lagoon
 
 #include "entry/connection_entry.ipp"
+#include "entry/lost_connections.ipp"
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -22,7 +22,7 @@
                                          R random, time_point now)
     : settings(settings), member(settings.membership, std::move(random), now),
       owners(settings.owners), connection_placer(settings.placement),
-      last_tick(now)
+      locator(settings.locator), last_tick(now)
 {
 }
 
@@ -55,6 +55,8 @@
     if (!this->held.empty())
         due = std::min(due.value_or(this->held.front().due),
                        this->held.front().due);
+    if (std::optional<time_point> const round = this->locator.next_due())
+        due = std::min(due.value_or(*round), *round);
     return due;
 }
 
@@ -106,11 +108,17 @@
     }
     std::optional<owner_record> const owner =
         this->owners.find(packet.endpoints);
-    if (packet.is_opening)
+    if (packet.is_opening) {
+        this->locator.erase(packet.endpoints);
         this->place(effects, packet, this->find_open_times(packet, now),
                     std::nullopt, now);
-    else if (owner && owner->is_confirmed)
+    } else if (owner && owner->is_confirmed) {
         this->forward(effects, *owner, packet, now);
+        // Its target has left the list; it may be gone.
+        if (this->may_locate() && !this->directory.contains(owner->target))
+            this->locate(effects, packet, now);
+    } else if (this->locator.is_pending(packet.endpoints))
+        this->locate(effects, packet, now);
     else if (this->searches.is_blocked(packet.endpoints, now))
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
@@ -280,6 +288,10 @@
                                        packet.endpoints),
         make_flow_key(packet.endpoints));
     detail::move_candidates(search.remaining, preferred, returned_by);
+    // The locator asks all targets about many connections at once.
+    if (this->may_locate() &&
+        search.remaining.size() > this->settings.placement.free_queries)
+        search.remaining.resize(this->settings.placement.free_queries);
     if (search.remaining.empty())
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
@@ -474,6 +486,7 @@
         this->record_lost_owner(effects, failed.progress, note, now);
     else
         this->suspend_search(effects, failed, note, now);
+    this->locate(effects, failed.packet, now);
 }
 
 // Resets the connection at once, so that the caller need not wait for a
@@ -543,6 +556,8 @@
     bool const has_other_owner = owner && owner->target != event.from;
     if (!packet.is_opening && has_other_owner)
         this->forward(effects, *owner, packet, now);
+    else if (!packet.is_opening && this->locator.is_pending(packet.endpoints))
+        this->locate(effects, packet, now);
     else if (!packet.is_opening)
         this->resume_search(effects, packet, event.from, now);
     else if (now - times.arrived_at < this->settings.max_hold_time)
@@ -655,6 +670,8 @@
     this->handle_outcome(effects,
                          this->connection_placer.tick(this->hints, now), now);
     this->retry_held(effects, now);
+    if (this->settings.reset_lost_connections)
+        this->advance_locator(effects, now);
     this->owners.sweep(now);
     this->searches.sweep(now);
     this->hints.sweep(now);
--- /dev/null
+++ b/src/entry/lost_connections.ipp
@@ -0,0 +1,116 @@
+// Definitions of connection_entry for connections whose owner a search did not
+// find: the locator asks all targets, and a connection that is lost is reset.
+#pragma once
+
+namespace lagoon {
+
+// While the list of targets is not known to be whole, searches along the ranking
+// go through all targets as before.
+template <random_source R, placement_policy P>
+bool connection_entry<R, P>::may_locate() const
+{
+    return this->settings.reset_lost_connections &&
+           this->member.whole_list_as_of().has_value();
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::locate(effects_type& effects,
+                                    connection_packet const& packet,
+                                    time_point now)
+{
+    if (!this->settings.reset_lost_connections || packet.is_reset)
+        return;
+    this->locator.add(packet, now);
+    this->advance_locator(effects, now);
+}
+
+// Targets that were removed from the catalog unannounced a moment ago may be
+// alive, and are asked as well.
+template <random_source R, placement_policy P>
+located_targets connection_entry<R, P>::list_located_targets() const
+{
+    located_targets list;
+    list.as_of = this->member.whole_list_as_of();
+    for (auto const& [id, part] : this->directory.services())
+        for (target_record const& target : part.targets)
+            list.targets.push_back({target.address, id, target.started_at_ms});
+    std::sort(list.targets.begin(), list.targets.end());
+    return list;
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::advance_locator(effects_type& effects,
+                                             time_point now)
+{
+    if (this->locator.size() == 0)
+        return;
+    if (this->locator.needs_list_after(this->member.whole_list_as_of()))
+        detail::append(effects, this->member.read_now(this->config, now));
+    for (locator_outcome const& outcome :
+         this->locator.advance(this->list_located_targets(), now))
+        std::visit(
+            [this, &effects, now](auto const& value) {
+                this->handle_outcome(effects, value, now);
+            },
+            outcome);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::on_event(effects_type& effects,
+                                      locate_answer const& event,
+                                      time_point now)
+{
+    if (this->locator.on_reply(event.from, event.reply))
+        this->advance_locator(effects, now);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::handle_outcome(effects_type& effects,
+                                            send_locate_query const& query,
+                                            time_point)
+{
+    effects.push_back(query);
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::handle_outcome(effects_type& effects,
+                                            connection_held const& held,
+                                            time_point now)
+{
+    placement_note note = this->make_note(placement_result::owner_found,
+                                          held.packet.endpoints, now, now);
+    note.target = held.target.address;
+    effects.push_back(note);
+    this->forward(effects,
+                  {.target = held.target.address,
+                   .service = held.target.service,
+                   .is_confirmed = true,
+                   .arrived_at = now,
+                   .requested_at = now},
+                  held.packet, now);
+}
+
+// Without a query id the target passes the packet to its back end, or returns
+// it.
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::handle_outcome(effects_type& effects,
+                                            try_at_target const& trial,
+                                            time_point)
+{
+    effects.push_back(send_offer{
+        trial.target.address,
+        {{}, trial.target.service, 0, true, {}, trial.packet.bytes}});
+}
+
+template <random_source R, placement_policy P>
+void connection_entry<R, P>::handle_outcome(effects_type& effects,
+                                            connection_lost const& lost,
+                                            time_point now)
+{
+    this->owners.erase(lost.packet.endpoints);
+    effects.push_back(this->make_note(
+        placement_result::lost, lost.packet.endpoints, lost.arrived_at, now));
+    effects.push_back(reset_caller{lost.packet});
+}
+
+}  // namespace lagoon
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -13,6 +13,7 @@
 
 #include "base/random.hpp"
 #include "catalog/catalog.hpp"
+#include "membership/list_confirmation.hpp"
 #include "membership/peers.hpp"
 #include "membership/readers.hpp"
 #include "protocol/messages.hpp"
@@ -36,6 +37,8 @@
     duration fetch_timeout = std::chrono::seconds{1};  // for a peer's answer
     duration read_timeout = std::chrono::seconds{2};   // for one read
 
+    duration read_now_interval = std::chrono::seconds{1};  // see read_now()
+
     // A longer gap between two ticks means that the process was paused.
     duration pause_threshold = std::chrono::seconds{2};
 
@@ -174,6 +177,14 @@
     membership_effects handle_request(peer_address from, generation since,
                                       catalog const& current, time_point now);
 
+    // Reads the platform without waiting for a change, unless a read is in
+    // progress or was made a moment ago.
+    membership_effects read_now(catalog const& current, time_point now);
+
+    // Returns the time as of which the catalog is known to list every living
+    // target.
+    std::optional<time_point> whole_list_as_of() const;
+
     // Returns the time since the latest known contact of any process with the
     // platform that showed the catalog, or an earlier one, to be current.
     duration platform_age(time_point now) const;
@@ -192,6 +203,7 @@
                                 std::size_t peer_count, catalog const& current,
                                 time_point now);
     std::size_t compute_rank(catalog const& current) const;
+    void record_platform_contact(time_point at);
     void read_if_due(membership_effects& effects, catalog const& current,
                      time_point now);
     read_schedule current_schedule(catalog const& current);
@@ -223,6 +235,7 @@
     catalog_version highest_seen_version = {};
     bool has_platform_answered = false;  // to the last read
     bool needs_full_read = false;        // after a conflict
+    list_confirmation list_state;
     std::optional<catalog_version> schedule_version = {};
     std::size_t schedule_peer_count = 0;
     read_schedule cached_schedule = {};
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -8,7 +8,8 @@
                           time_point now)
     : settings(std::move(settings)), random(std::move(random)),
       last_tick_at(now), next_exchange_at(now),
-      platform_contact(now - initial_platform_age), earliest_read_at(now)
+      platform_contact(now - initial_platform_age), earliest_read_at(now),
+      list_state(now)
 {
     this->begin_catch_up(now);
     if (!this->settings.seeds.empty())
@@ -100,7 +101,7 @@
                                    catalog const& current)
 {
     if (report.version <= current.version())
-        this->platform_contact = std::max(this->platform_contact, report.at);
+        this->record_platform_contact(report.at);
     else if (!this->reported_contact || this->reported_contact->at < report.at)
         this->reported_contact = report;
 }
@@ -111,11 +112,19 @@
     if (!this->reported_contact ||
         this->reported_contact->version > current.version())
         return;
-    this->platform_contact =
-        std::max(this->platform_contact, this->reported_contact->at);
+    this->record_platform_contact(this->reported_contact->at);
     this->reported_contact.reset();
 }
 
+// The time of a contact is that of the answer. What the platform held is older
+// by the time that the answer took.
+template <random_source R>
+void membership<R>::record_platform_contact(time_point at)
+{
+    this->platform_contact = std::max(this->platform_contact, at);
+    this->list_state.record(at - this->settings.timing.read_timeout);
+}
+
 template <random_source R>
 membership_effects
 membership<R>::handle_digest(peer_address from, peer_digest const& digest,
@@ -157,6 +166,10 @@
                                                   time_point now)
 {
     if (source == change_source::platform) {
+        // A watch may have answered with what the platform held at its end.
+        if (this->read_started_at && this->current_watch == duration{})
+            this->list_state.record(*this->read_started_at);
+        this->list_state.record(now - this->settings.timing.read_timeout);
         this->read_started_at.reset();
         this->needs_full_read = false;
         this->platform_contact = now;
@@ -354,6 +367,32 @@
     return effects;
 }
 
+template <random_source R>
+membership_effects membership<R>::read_now(catalog const& current,
+                                           time_point now)
+{
+    bool const is_too_soon =
+        this->read_started_at || now < this->earliest_read_at ||
+        (this->last_read_at &&
+         now - *this->last_read_at < this->settings.timing.read_now_interval);
+    if (is_too_soon)
+        return {};
+    this->current_watch = {};
+    this->read_started_at = now;
+    this->last_read_at = now;
+    return {read_platform{this->needs_full_read ? generation{}
+                                                : current.version().number,
+                          false,
+                          {},
+                          this->settings.timing.read_timeout}};
+}
+
+template <random_source R>
+std::optional<time_point> membership<R>::whole_list_as_of() const
+{
+    return this->list_state.whole_as_of();
+}
+
 template <random_source R>
 std::optional<time_point> membership<R>::next_due(catalog const& current) const
 {
--- /dev/null
+++ b/src/placement/connection_locator.cpp
@@ -0,0 +1,230 @@
+#include "placement/connection_locator.hpp"
+
+#include <algorithm>
+#include <set>
+
+namespace lagoon {
+
+namespace {
+
+// Denials of earlier rounds are asked for again.
+constexpr std::size_t max_answered_rounds = 16;
+
+bool contains_all(std::vector<located_target> const& all,
+                  std::vector<located_target> const& wanted)
+{
+    return std::includes(all.begin(), all.end(), wanted.begin(), wanted.end());
+}
+
+}  // namespace
+
+connection_locator::connection_locator(locator_limits limits) : limits(limits)
+{
+}
+
+// ---- connections --------------------------------------------------------
+
+void connection_locator::add(connection_packet const& packet, time_point now)
+{
+    auto const found = this->pending.find(packet.endpoints);
+    if (found != this->pending.end()) {
+        found->second.packet = packet;
+        found->second.last_packet_at = now;
+        return;
+    }
+    if (this->pending.size() >= this->limits.max_connections)
+        return;
+    this->pending.emplace(packet.endpoints,
+                          pending_connection{packet, now, now});
+    this->order.push_back(packet.endpoints);
+}
+
+void connection_locator::erase(connection_endpoints const& endpoints)
+{
+    this->pending.erase(endpoints);
+}
+
+bool connection_locator::is_pending(connection_endpoints const& endpoints) const
+{
+    return this->pending.contains(endpoints);
+}
+
+bool connection_locator::needs_list_after(std::optional<time_point> as_of) const
+{
+    return std::any_of(this->pending.begin(), this->pending.end(),
+                       [as_of](auto const& one) {
+                           return !as_of || one.second.arrived_at > *as_of;
+                       });
+}
+
+std::size_t connection_locator::size() const
+{
+    return this->pending.size();
+}
+
+std::optional<time_point> connection_locator::next_due() const
+{
+    if (this->round)
+        return this->round->started_at + this->limits.answer_timeout;
+    if (this->pending.empty())
+        return std::nullopt;
+    return this->next_round_at;
+}
+
+void connection_locator::drop_silent(time_point now)
+{
+    std::erase_if(this->pending, [this, now](auto const& one) {
+        return now - one.second.last_packet_at > this->limits.max_silence;
+    });
+    std::erase_if(this->order, [this](connection_endpoints const& one) {
+        return !this->pending.contains(one);
+    });
+}
+
+// ---- rounds -------------------------------------------------------------
+
+bool connection_locator::on_reply(peer_address from, locate_reply const& reply)
+{
+    if (!this->round)
+        return false;
+    auto const asked = this->round->asked.find(reply.query);
+    bool const is_valid =
+        asked != this->round->asked.end() &&
+        asked->second.target.address == from &&
+        asked->second.verdicts.empty() &&
+        reply.verdicts.size() == this->round->connections.size();
+    if (!is_valid)
+        return false;
+    asked->second.verdicts = reply.verdicts;
+    ++this->round->answer_count;
+    return this->round->answer_count == this->round->asked.size();
+}
+
+bool connection_locator::is_round_over(time_point now) const
+{
+    return this->round->answer_count == this->round->asked.size() ||
+           now - this->round->started_at >= this->limits.answer_timeout;
+}
+
+locator_outcomes connection_locator::advance(located_targets const& list,
+                                             time_point now)
+{
+    locator_outcomes outcomes;
+    if (this->round && this->is_round_over(now))
+        this->end_round(outcomes, list);
+    if (list.as_of)
+        this->collect_lost(outcomes, list);
+    this->drop_silent(now);
+    if (!this->round && now >= this->next_round_at)
+        this->start_round(outcomes, list, now);
+    return outcomes;
+}
+
+void connection_locator::start_round(locator_outcomes& outcomes,
+                                     located_targets const& list,
+                                     time_point now)
+{
+    bool const can_ask = !list.targets.empty() &&
+                         list.targets.size() <= this->limits.max_targets;
+    // Without a whole list, searches along the ranking find owners at less
+    // cost.
+    if (!can_ask || !list.as_of || this->order.empty())
+        return;
+    this->round = locate_round{++this->last_round, now};
+    std::vector<located_connection> connections;
+    while (!this->order.empty() &&
+           connections.size() < max_located_connections) {
+        pending_connection& one = this->pending.at(this->order.front());
+        connections.push_back(
+            {one.packet.endpoints, one.packet.acknowledgement});
+        this->round->connections.push_back(one.packet.endpoints);
+        this->order.pop_front();
+    }
+    for (located_target const& target : list.targets) {
+        query_id const query{++this->last_query};
+        this->round->asked.emplace(query, asked_target{target});
+        outcomes.push_back(send_locate_query{
+            target.address,
+            {query, target.service, target.started_at_ms, 0, connections}});
+    }
+    this->next_round_at =
+        now + this->limits.time_per_target *
+                  static_cast<std::int64_t>(list.targets.size());
+}
+
+// Connections without a decision are asked about again, after the others.
+void connection_locator::end_round(locator_outcomes& outcomes,
+                                   located_targets const& list)
+{
+    bool const has_all_answers =
+        this->round->answer_count == this->round->asked.size();
+    std::vector<located_target> answering;
+    for (auto const& [query, asked] : this->round->asked)
+        if (!asked.verdicts.empty())
+            answering.push_back(asked.target);
+    std::sort(answering.begin(), answering.end());
+    // A target that was asked and has left the list need not have answered.
+    bool const is_list_covered =
+        has_all_answers || contains_all(answering, list.targets);
+    if (is_list_covered)
+        this->answered.emplace(this->round->number, answering);
+    if (this->answered.size() > max_answered_rounds)
+        this->answered.erase(this->answered.begin());
+    for (std::size_t i = 0; i < this->round->connections.size(); ++i)
+        this->judge(outcomes, this->round->connections[i], i, is_list_covered);
+    this->round.reset();
+}
+
+void connection_locator::judge(locator_outcomes& outcomes,
+                               connection_endpoints const& endpoints,
+                               std::size_t position, bool is_list_covered)
+{
+    auto const found = this->pending.find(endpoints);
+    if (found == this->pending.end())
+        return;
+    std::vector<located_target> unsure;
+    for (auto const& [query, asked] : this->round->asked) {
+        if (asked.verdicts.empty())
+            continue;
+        locate_verdict const verdict = asked.verdicts[position];
+        if (verdict == locate_verdict::held) {
+            outcomes.push_back(
+                connection_held{found->second.packet, asked.target});
+            this->pending.erase(found);
+            return;
+        }
+        if (verdict == locate_verdict::unsure)
+            unsure.push_back(asked.target);
+    }
+    this->order.push_back(endpoints);
+    if (!is_list_covered)
+        return;
+    if (unsure.empty())
+        found->second.denied_in = this->round->number;
+    else if (unsure.size() <= this->limits.max_trials)
+        for (located_target const& target : unsure)
+            outcomes.push_back(try_at_target{found->second.packet, target});
+}
+
+// A denial stays valid: a connection that was open when its packet arrived and
+// that no back end held after that can't be open again. The list may have grown
+// since the round, or may be confirmed only now.
+void connection_locator::collect_lost(locator_outcomes& outcomes,
+                                      located_targets const& list)
+{
+    std::set<std::uint64_t> covering;
+    for (auto const& [number, targets] : this->answered)
+        if (contains_all(targets, list.targets))
+            covering.insert(number);
+    std::erase_if(this->pending, [&](auto const& one) {
+        pending_connection const& connection = one.second;
+        bool const is_lost = covering.contains(connection.denied_in) &&
+                             connection.arrived_at <= *list.as_of;
+        if (is_lost)
+            outcomes.push_back(
+                connection_lost{connection.packet, connection.arrived_at});
+        return is_lost;
+    });
+}
+
+}  // namespace lagoon
--- a/src/placement/target_directory.cpp
+++ b/src/placement/target_directory.cpp
@@ -36,6 +36,19 @@
     return this->merged;
 }
 
+bool target_directory::contains(peer_address address) const
+{
+    return this->addresses.contains(address);
+}
+
+void target_directory::collect_addresses()
+{
+    this->addresses.clear();
+    for (auto const& [id, part] : this->merged)
+        for (target_record const& target : part.targets)
+            this->addresses.insert(target.address);
+}
+
 std::size_t target_directory::unlisted_count() const
 {
     std::size_t count = 0;
@@ -78,6 +91,7 @@
         this->rebuild(id);
     for (auto const& [id, targets] : this->unlisted)
         this->rebuild(id);
+    this->collect_addresses();
 }
 
 void target_directory::rebuild(service_id id)
@@ -116,6 +130,8 @@
         if (expired.size() > before)
             this->rebuild(id);
     }
+    if (!expired.empty())
+        this->collect_addresses();
     return expired;
 }
 
--- a/src/placement/target_directory.hpp
+++ b/src/placement/target_directory.hpp
@@ -12,6 +12,7 @@
 #include "catalog/catalog.hpp"
 
 #include <map>
+#include <unordered_set>
 #include <vector>
 
 namespace lagoon {
@@ -50,6 +51,9 @@
     // All services that have targets.
     std::map<service_id, service_part> const& services() const;
 
+    // Whether a target of any service has the address.
+    bool contains(peer_address address) const;
+
     // Number of unlisted targets still in use.
     std::size_t unlisted_count() const;
 
@@ -57,10 +61,12 @@
     void retain_unlisted(service_part const& old,
                          service_part const* listed_now, time_point now);
     void rebuild(service_id id);
+    void collect_addresses();
 
     std::map<service_id, service_part> listed = {};
     std::map<service_id, std::vector<unlisted_target>> unlisted = {};
     std::map<service_id, service_part> merged = {};
+    std::unordered_set<peer_address, detail::address_hash> addresses = {};
     bool was_platform_down = false;
     time_point platform_back_at = {};
 };
--- a/src/programs/connection_entry_program.hpp
+++ b/src/programs/connection_entry_program.hpp
@@ -57,6 +57,7 @@
     void handle_peer_packet(peer_address from, std::string_view bytes);
     void handle_message(peer_address from, datagram const& packet);
     void perform(send_offer const& effect);
+    void perform(send_locate_query const& effect);
     void perform(reset_caller const& effect);
     void perform(send_digest const& effect);
     void perform(send_update const& effect);
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -24,6 +24,7 @@
             .update_fan_out = 8,
             .fetch_timeout = std::chrono::milliseconds{400},
             .read_timeout = std::chrono::milliseconds{600},
+            .read_now_interval = std::chrono::milliseconds{300},
             .pause_threshold = std::chrono::milliseconds{1000},
             .first_read_delay = duration{},
             .catch_up_timeout = std::chrono::milliseconds{1000},
@@ -51,6 +52,7 @@
                        .exchange = settings.exchange,
                        .seeds = make_seed_addresses(settings),
                        .timing = make_membership_timing(settings.change_limit)};
+    role.reset_lost_connections = settings.reset_lost_connections;
     return role;
 }
 
@@ -244,6 +246,8 @@
     else if (auto const* answer = std::get_if<offer_reply>(&packet))
         this->handle(connection_entry_event{answer_from_target{
             from, *answer, Format::parse_from_caller(answer->bytes)}});
+    else if (auto const* reply = std::get_if<locate_reply>(&packet))
+        this->handle(connection_entry_event{locate_answer{from, *reply}});
     else
         this->perform(
             report_failure{{step::decode_packet, reason::unsupported, from,
@@ -321,6 +325,15 @@
     this->loop.send(peer_socket, effect.to, encode_packet(effect.offer));
 }
 
+template <packet_format Format, platform_reader Reader>
+void connection_entry_program<Format, Reader>::perform(
+    send_locate_query const& effect)
+{
+    locate_query query = effect.query;
+    query.sent_at_ms = read_unix_milliseconds();
+    this->loop.send(peer_socket, effect.to, encode_packet(query));
+}
+
 // Callers receive on the same port number as entries.
 template <packet_format Format, platform_reader Reader>
 void connection_entry_program<Format, Reader>::perform(
--- a/src/programs/connection_settings.cpp
+++ b/src/programs/connection_settings.cpp
@@ -19,10 +19,11 @@
 entry_process_settings read_entry(json_checker& checker,
                                   json_node const& object)
 {
-    checker.check_keys(object, {"name", "data_centre", "packets", "exchange",
-                                "control", "ready", "metrics", "platform",
-                                "seeds", "change_limit_ms", "log_level",
-                                "log_lines_per_second"});
+    checker.check_keys(object,
+                       {"name", "data_centre", "packets", "exchange", "control",
+                        "ready", "metrics", "platform", "seeds",
+                        "change_limit_ms", "reset_lost_connections",
+                        "log_level", "log_lines_per_second"});
     entry_process_settings settings{
         .name = checker.read_text(object, "name"),
         .data_centre = checker.read_text(object, "data_centre"),
@@ -33,6 +34,9 @@
         .platform = checker.read_address(object, "platform"),
         .change_limit = checker.read_duration(object, "change_limit_ms",
                                               std::chrono::milliseconds{1}),
+        .reset_lost_connections =
+            checker.has(object, "reset_lost_connections") &&
+            checker.read_flag(object, "reset_lost_connections"),
         .log = read_log(checker, object),
     };
     for (json_node const& item : checker.read_list(object, "seeds"))
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -39,6 +39,7 @@
     peer_address platform = {};            // TCP, HTTP
     std::vector<peer_address> seeds = {};  // peers; only the IPs are used
     duration change_limit = {};  // deadline for applying a platform change
+    bool reset_lost_connections = false;  // see connection_entry_settings
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
--- a/src/programs/connection_target_program.hpp
+++ b/src/programs/connection_target_program.hpp
@@ -47,11 +47,13 @@
     static constexpr socket_index back_end_socket{1};
 
     void handle(connection_target_event const& event);
-    void handle_offer(peer_address from, std::string_view bytes);
+    void handle_entry_packet(peer_address from, std::string_view bytes);
+    void handle_offer(peer_address from, packet_offer offer);
     void handle_back_end_packet(peer_address from, std::string_view bytes);
     void perform(send_to_back_end const& effect);
     void perform(forward_to_caller const& effect);
     void perform(reply_to_entry const& effect);
+    void perform(answer_locate_query const& effect);
     void perform(reset_connection const& effect);
     void perform(tracking_note const& effect);
     void perform(report_failure const& effect);
--- a/src/programs/connection_target_program.ipp
+++ b/src/programs/connection_target_program.ipp
@@ -34,6 +34,7 @@
                       .max_wait_share = max_open_wait_share};
     role.is_table_complete = settings.is_first_start;
     role.max_connection_age = settings.max_connection_age;
+    role.process_started_at_ms = read_unix_milliseconds();
     role.max_stop_time =
         std::max(settings.stop_limit - stop_margin, duration{});
     return role;
@@ -151,35 +152,43 @@
 {
     ++this->packet_count;
     if (socket == entry_socket)
-        this->handle_offer(from, bytes);
+        this->handle_entry_packet(from, bytes);
     else
         this->handle_back_end_packet(from, bytes);
 }
 
 template <packet_format Format>
-void connection_target_program<Format>::handle_offer(peer_address from,
-                                                     std::string_view bytes)
+void connection_target_program<Format>::handle_entry_packet(
+    peer_address from, std::string_view bytes)
 {
     failure error;
     std::optional<datagram> packet = decode_packet(bytes, from, error);
-    packet_offer* offer =
-        packet ? std::get_if<packet_offer>(&*packet) : nullptr;
-    if (offer == nullptr) {
-        this->perform(report_failure{
-            packet ? failure{step::decode_packet, reason::unsupported, from,
-                             "packet type not expected on this socket"}
-                   : error});
-        return;
-    }
+    if (!packet)
+        this->perform(report_failure{error});
+    else if (auto* offer = std::get_if<packet_offer>(&*packet))
+        this->handle_offer(from, std::move(*offer));
+    else if (auto* query = std::get_if<locate_query>(&*packet))
+        this->handle(connection_target_event{
+            locate_request{from, std::move(*query), read_unix_milliseconds()}});
+    else
+        this->perform(
+            report_failure{{step::decode_packet, reason::unsupported, from,
+                            "packet type not expected on this socket"}});
+}
+
+template <packet_format Format>
+void connection_target_program<Format>::handle_offer(peer_address from,
+                                                     packet_offer offer)
+{
     std::optional<connection_packet> inner =
-        Format::parse_from_caller(offer->bytes);
+        Format::parse_from_caller(offer.bytes);
     if (!inner) {
         this->perform(report_failure{{step::decode_packet, reason::malformed,
                                       from, "offer contains no valid packet"}});
         return;
     }
     this->handle(connection_target_event{
-        entry_offer{from, std::move(*offer), std::move(*inner)}});
+        entry_offer{from, std::move(offer), std::move(*inner)}});
 }
 
 template <packet_format Format>
@@ -266,6 +275,13 @@
     this->loop.send(entry_socket, effect.to, encode_packet(effect.answer));
 }
 
+template <packet_format Format>
+void connection_target_program<Format>::perform(
+    answer_locate_query const& effect)
+{
+    this->loop.send(entry_socket, effect.to, encode_packet(effect.reply));
+}
+
 template <packet_format Format>
 void connection_target_program<Format>::perform(reset_connection const& effect)
 {
--- a/src/programs/connection_telemetry.cpp
+++ b/src/programs/connection_telemetry.cpp
@@ -21,6 +21,8 @@
         return "owner_found";
     case placement_result::owner_lost:
         return "owner_lost";
+    case placement_result::lost:
+        return "lost";
     case placement_result::returned:
         return "returned_by_target";
     }
--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -15,6 +15,7 @@
 #include "tracking/back_end_health.hpp"
 #include "tracking/back_end_monitor.hpp"
 #include "tracking/connections.hpp"
+#include "tracking/table_completeness.hpp"
 #include "tracking/waiting_opens.hpp"
 
 #include <optional>
@@ -47,9 +48,17 @@
     auto operator<=>(packet_returned const&) const = default;
 };
 
+struct locate_request
+{
+    peer_address from = {};
+    locate_query query = {};
+    std::uint64_t received_at_ms = 0;  // time of day, Unix milliseconds
+    auto operator<=>(locate_request const&) const = default;
+};
+
 using connection_target_event =
-    std::variant<entry_offer, packet_from_back_end, packet_returned, clock_tick,
-                 stop_requested>;
+    std::variant<entry_offer, packet_from_back_end, packet_returned,
+                 locate_request, clock_tick, stop_requested>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -73,6 +82,13 @@
     auto operator<=>(reply_to_entry const&) const = default;
 };
 
+struct answer_locate_query
+{
+    peer_address to = {};
+    locate_reply reply = {};
+    auto operator<=>(answer_locate_query const&) const = default;
+};
+
 // Resets the connection of the caller that sent `packet`.
 struct reset_connection
 {
@@ -114,7 +130,7 @@
 
 using connection_target_effect =
     std::variant<send_to_back_end, forward_to_caller, reply_to_entry,
-                 reset_connection, tracking_note>;
+                 answer_locate_query, reset_connection, tracking_note>;
 using connection_target_effects = std::vector<connection_target_effect>;
 
 // ---- connection_target --------------------------------------------------
@@ -161,6 +177,9 @@
     // every connection of the back end.
     duration max_connection_age = std::chrono::seconds{60};
 
+    // Start of this process, in Unix milliseconds; 0: unknown.
+    std::uint64_t process_started_at_ms = 0;
+
     auto operator<=>(connection_target_settings const&) const = default;
 };
 
@@ -191,6 +210,8 @@
                   time_point now);
     void on_event(effects_type& effects, packet_returned const& event,
                   time_point now);
+    void on_event(effects_type& effects, locate_request const& event,
+                  time_point now);
     void on_event(effects_type& effects, clock_tick const& event,
                   time_point now);
     void on_event(effects_type& effects, stop_requested const& event,
@@ -217,7 +238,11 @@
     // `is_packet_returned` is set and sends nothing otherwise.
     void reply(effects_type& effects, entry_offer const& event,
                offer_verdict verdict, bool is_packet_returned, time_point now);
-    bool is_table_complete(time_point now) const;
+    locate_verdict locate(located_connection const& connection,
+                          time_point now) const;
+    bool is_owned_elsewhere(connection_record const& record,
+                            std::uint32_t acknowledgement,
+                            time_point now) const;
 
     // Returns whether the back end may get a request now. If the back end is
     // unhealthy, the request is a trial, which this function records.
@@ -235,10 +260,10 @@
     connection_target_settings settings;
     admission_controller<Q, T> admission_control;
     connection_table connections;
+    table_completeness completeness;
     back_end_monitor monitor = {};
     back_end_health health;
     waiting_opens queued_opens = {};
-    time_point started_at;
     std::optional<time_point> stopping_since = {};
 };
 
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -30,8 +30,11 @@
 connection_target<Q, T>::connection_target(connection_target_settings settings,
                                            time_point now)
     : settings(settings), admission_control(settings.admission, now),
-      connections(settings.connections), health(settings.health),
-      started_at(now)
+      connections(settings.connections),
+      completeness({.max_connection_age = settings.max_connection_age},
+                   settings.is_table_complete, settings.process_started_at_ms,
+                   now),
+      health(settings.health)
 {
 }
 
@@ -86,13 +89,6 @@
     return this->admission_control.load();
 }
 
-template <queue_policy Q, running_time_predictor T>
-bool connection_target<Q, T>::is_table_complete(time_point now) const
-{
-    return this->settings.is_table_complete ||
-           now - this->started_at > this->settings.max_connection_age;
-}
-
 template <queue_policy Q, running_time_predictor T>
 request_class
 connection_target<Q, T>::make_request_class(peer_address route) const
@@ -215,6 +211,7 @@
                            .stage_since = now,
                            .last_used = now});
     if (!has_room) {
+        this->completeness.record_overflow(now);
         effects.push_back(
             this->make_note(tracking_result::table_full, packet.endpoints, {}));
         this->reply(effects, event, offer_verdict::busy, true, now);
@@ -371,7 +368,7 @@
 {
     connection_record const* record =
         this->connections.find(event.packet.endpoints);
-    if (record == nullptr && this->is_table_complete(now)) {
+    if (record == nullptr && this->completeness.is_complete(now)) {
         this->reply(effects, event, offer_verdict::not_owner, true, now);
         return;
     }
@@ -391,22 +388,68 @@
                                   now);
         return;
     }
-    // A caller sends only opening packets until a back end has accepted. If
-    // this back end has not, another one has, and the packet belongs to its
-    // target. If the table is incomplete, this back end may have accepted
-    // before this process started.
-    bool const is_early = record->stage == connection_stage::opening &&
-                          this->is_table_complete(now);
-    bool const is_owned_elsewhere =
-        record->stage == connection_stage::not_owned ||
-        record->stage == connection_stage::waiting || is_early ||
-        !acknowledges_sent_data(*record, event.packet);
-    if (is_owned_elsewhere)
+    if (this->is_owned_elsewhere(*record, event.packet.acknowledgement, now))
         this->reply(effects, event, offer_verdict::not_owner, true, now);
     else
         this->deliver_to_back_end(effects, event, *record, now);
 }
 
+// A caller sends only opening packets until a back end has accepted. If this back
+// end has not, another one has, and the packet belongs to its target. If the
+// table is incomplete, this back end may have accepted before this process
+// started.
+template <queue_policy Q, running_time_predictor T>
+bool connection_target<Q, T>::is_owned_elsewhere(
+    connection_record const& record, std::uint32_t acknowledgement,
+    time_point now) const
+{
+    bool const is_early = record.stage == connection_stage::opening &&
+                          this->completeness.is_complete(now);
+    return record.stage == connection_stage::not_owned ||
+           record.stage == connection_stage::waiting || is_early ||
+           !acknowledges_sent_data(record, acknowledgement);
+}
+
+// ---- locate queries -----------------------------------------------------
+
+// The address may have passed on to the target of another service, whose denial
+// would say nothing about the connection.
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::on_event(effects_type& effects,
+                                       locate_request const& event,
+                                       time_point now)
+{
+    bool const is_for_this = event.query.service == this->settings.service;
+    if (is_for_this)
+        this->completeness.record_published_start(
+            {event.query.back_end_started_at_ms, event.query.sent_at_ms,
+             event.received_at_ms},
+            now);
+    locate_reply reply{event.query.query};
+    reply.verdicts.reserve(event.query.connections.size());
+    for (located_connection const& one : event.query.connections)
+        reply.verdicts.push_back(is_for_this ? this->locate(one, now)
+                                             : locate_verdict::unsure);
+    effects.push_back(answer_locate_query{event.from, reply});
+}
+
+template <queue_policy Q, running_time_predictor T>
+locate_verdict
+connection_target<Q, T>::locate(located_connection const& connection,
+                                time_point now) const
+{
+    connection_record const* record =
+        this->connections.find(connection.endpoints);
+    if (record == nullptr)
+        return this->completeness.is_complete(now) ? locate_verdict::denied
+                                                   : locate_verdict::unsure;
+    if (record->stage == connection_stage::unverified)
+        return locate_verdict::unsure;
+    return this->is_owned_elsewhere(*record, connection.acknowledgement, now)
+               ? locate_verdict::denied
+               : locate_verdict::held;
+}
+
 template <queue_policy Q, running_time_predictor T>
 void connection_target<Q, T>::deliver_to_back_end(effects_type& effects,
                                                   entry_offer const& event,
--- a/src/tracking/connections.cpp
+++ b/src/tracking/connections.cpp
@@ -22,11 +22,17 @@
 bool acknowledges_sent_data(connection_record const& record,
                             connection_packet const& packet)
 {
-    if (!record.has_sequence || packet.is_opening)
+    return packet.is_opening ||
+           acknowledges_sent_data(record, packet.acknowledgement);
+}
+
+bool acknowledges_sent_data(connection_record const& record,
+                            std::uint32_t acknowledgement)
+{
+    if (!record.has_sequence)
         return true;
-    std::uint32_t const ahead = packet.acknowledgement - record.target_sequence;
-    std::uint32_t const behind =
-        record.target_sequence - packet.acknowledgement;
+    std::uint32_t const ahead = acknowledgement - record.target_sequence;
+    std::uint32_t const behind = record.target_sequence - acknowledgement;
     return std::min(ahead, behind) <= sequence_window;
 }
 
--- a/src/tracking/connections.hpp
+++ b/src/tracking/connections.hpp
@@ -50,6 +50,8 @@
 // them, which the acknowledgement identifies.
 bool acknowledges_sent_data(connection_record const& record,
                             connection_packet const& packet);
+bool acknowledges_sent_data(connection_record const& record,
+                            std::uint32_t acknowledgement);
 
 // ---- connection_table ---------------------------------------------------
 
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -188,6 +188,7 @@
         connection_target_settings settings = this->target_settings;
         settings.service = make_service_id(node.service);
         settings.is_table_complete = this->time == start_time;
+        settings.process_started_at_ms = this->unix_milliseconds();
         node.core =
             std::make_unique<connection_target<Q>>(settings, this->time);
         node.incarnation = ++this->last_incarnation;
@@ -208,6 +209,7 @@
         node.back_end = {};
         node.back_end.is_alive = true;
         node.back_end.incarnation = ++this->last_incarnation;
+        node.back_end.started_at_ms = this->unix_milliseconds();
         node.back_end.warm_up_until =
             this->time == start_time ? this->time
                                      : this->time + node.traits.warm_up_time;
@@ -377,6 +379,10 @@
         return this->targets[index].accepted_count;
     }
 
+    // Resets by entries of connections that a back end holds, open on both
+    // sides.
+    std::size_t wrong_resets = 0;
+    std::size_t locate_queries = 0;
     std::vector<simulated_request> requests = {};
     std::vector<placement_note> placement_notes = {};
     std::vector<tracking_note> tracking_notes = {};
@@ -466,6 +472,7 @@
     {
         bool is_alive = false;
         std::uint64_t incarnation = 0;
+        std::uint64_t started_at_ms = 0;
         time_point warm_up_until = {};
         double slowdown = 1;
         double reset_share = 0;  // of the requests
@@ -914,14 +921,46 @@
         });
     }
 
+    void perform_entry(std::size_t index, send_locate_query const& effect)
+    {
+        ++this->locate_queries;
+        std::size_t const target = effect.to.ip - target_ip;
+        if (target >= this->targets.size() || this->draw_loss())
+            return;
+        locate_request request{this->entries[index].address, effect.query};
+        request.query.sent_at_ms = this->unix_milliseconds();
+        this->schedule(this->hop_delay(this->entries[index].data_centre,
+                                       this->targets[target].data_centre),
+                       [this, target, request] {
+                           locate_request received = request;
+                           received.received_at_ms = this->unix_milliseconds();
+                           this->feed_target(target, received);
+                       });
+    }
+
     void perform_entry(std::size_t, reset_caller const& effect)
     {
+        this->check_reset(effect.packet.endpoints);
         this->schedule(this->network.caller_delay,
                        [this, endpoints = effect.packet.endpoints] {
                            this->deliver_reset_to_caller(endpoints);
                        });
     }
 
+    std::uint64_t unix_milliseconds() const
+    {
+        return static_cast<std::uint64_t>(this->time.time_since_epoch() / 1ms);
+    }
+
+    void check_reset(connection_endpoints const& endpoints)
+    {
+        for (target_node const& target : this->targets) {
+            auto const held = target.back_end.connections.find(endpoints);
+            this->wrong_resets += held != target.back_end.connections.end() &&
+                                  held->second.is_request_received;
+        }
+    }
+
     template <class Packet, class Effect>
     void send_to_peer(std::size_t index, Effect const& effect)
     {
@@ -1076,6 +1115,19 @@
                        });
     }
 
+    void perform_target(std::size_t index, answer_locate_query const& effect)
+    {
+        std::size_t const to = effect.to.ip - entry_ip;
+        if (to >= this->entries.size() || this->draw_loss())
+            return;
+        locate_answer const event{this->targets[index].address, effect.reply};
+        this->schedule(this->hop_delay(this->targets[index].data_centre,
+                                       this->entries[to].data_centre),
+                       [this, to, event] {
+                           this->feed_entry(to, event);
+                       });
+    }
+
     void perform_target(std::size_t, forward_to_caller const& effect)
     {
         this->schedule(this->network.caller_delay,
@@ -1255,7 +1307,7 @@
                                  node.address,
                                  node.address,
                                  node.traits.slots,
-                                 node.back_end.incarnation,
+                                 node.back_end.started_at_ms,
                                  {node.back_end.incarnation},
                                  this->leaving.contains(index)
                                      ? target_state::leaving
