Fit a locate query into a datagram, and read the list only to decide

Packets of waiting connections no longer resumed searches while the list was not known to be whole. Change: at most 48 connections in a query; an entry reads the platform only for a connection that all targets have denied, giving up a watch in progress; simulated sessions repeat a request whose connection is reset.

--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -117,7 +117,7 @@
         // Its target has left the list; it may be gone.
         if (this->may_locate() && !this->directory.contains(owner->target))
             this->locate(effects, packet, now);
-    } else if (this->locator.is_pending(packet.endpoints))
+    } else if (this->may_locate() && this->locator.is_pending(packet.endpoints))
         this->locate(effects, packet, now);
     else if (this->searches.is_blocked(packet.endpoints, now))
         effects.push_back(this->make_note(placement_result::owner_lost,
@@ -556,7 +556,8 @@
     bool const has_other_owner = owner && owner->target != event.from;
     if (!packet.is_opening && has_other_owner)
         this->forward(effects, *owner, packet, now);
-    else if (!packet.is_opening && this->locator.is_pending(packet.endpoints))
+    else if (!packet.is_opening && this->may_locate() &&
+             this->locator.is_pending(packet.endpoints))
         this->locate(effects, packet, now);
     else if (!packet.is_opening)
         this->resume_search(effects, packet, event.from, now);
@@ -584,6 +585,8 @@
     handle_change(effects, this->config, this->member, event, now);
     this->handle_config_change(effects, before, now);
     this->report_platform_change(effects, now);
+    if (this->settings.reset_lost_connections)
+        this->advance_locator(effects, now);
 }
 
 template <random_source R, placement_policy P>
--- a/src/entry/lost_connections.ipp
+++ b/src/entry/lost_connections.ipp
@@ -44,8 +44,6 @@
 {
     if (this->locator.size() == 0)
         return;
-    if (this->locator.needs_list_after(this->member.whole_list_as_of()))
-        detail::append(effects, this->member.read_now(this->config, now));
     for (locator_outcome const& outcome :
          this->locator.advance(this->list_located_targets(), now))
         std::visit(
@@ -53,6 +51,11 @@
                 this->handle_outcome(effects, value, now);
             },
             outcome);
+    std::optional<time_point> const as_of = this->member.whole_list_as_of();
+    bool const is_read_needed = as_of ? this->locator.needs_list_after(*as_of)
+                                      : this->member.can_confirm_list(now);
+    if (is_read_needed)
+        detail::append(effects, this->member.read_now(this->config, now));
 }
 
 template <random_source R, placement_policy P>
--- a/src/membership/list_confirmation.hpp
+++ b/src/membership/list_confirmation.hpp
@@ -47,6 +47,12 @@
         this->first.reset();
     }
 
+    // Whether a read of the platform that starts now shows the list to be whole.
+    bool can_confirm(time_point now) const
+    {
+        return this->first && now >= *this->first + list_settling_time;
+    }
+
     // Returns the time as of which the list is whole.
     std::optional<time_point> whole_as_of() const
     {
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -177,14 +177,17 @@
     membership_effects handle_request(peer_address from, generation since,
                                       catalog const& current, time_point now);
 
-    // Reads the platform without waiting for a change, unless a read is in
-    // progress or was made a moment ago.
+    // Reads the platform without waiting for a change, unless such a read is in
+    // progress or was made a moment ago. A watch in progress is given up.
     membership_effects read_now(catalog const& current, time_point now);
 
     // Returns the time as of which the catalog is known to list every living
     // target.
     std::optional<time_point> whole_list_as_of() const;
 
+    // Whether a read that starts now gives such a time.
+    bool can_confirm_list(time_point now) const;
+
     // Returns the time since the latest known contact of any process with the
     // platform that showed the catalog, or an earlier one, to be current.
     duration platform_age(time_point now) const;
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -372,7 +372,8 @@
                                            time_point now)
 {
     bool const is_too_soon =
-        this->read_started_at || now < this->earliest_read_at ||
+        (this->read_started_at && this->current_watch == duration{}) ||
+        now < this->earliest_read_at ||
         (this->last_read_at &&
          now - *this->last_read_at < this->settings.timing.read_now_interval);
     if (is_too_soon)
@@ -387,6 +388,12 @@
                           this->settings.timing.read_timeout}};
 }
 
+template <random_source R>
+bool membership<R>::can_confirm_list(time_point now) const
+{
+    return this->list_state.can_confirm(now);
+}
+
 template <random_source R>
 std::optional<time_point> membership<R>::whole_list_as_of() const
 {
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -49,12 +49,12 @@
     return this->pending.contains(endpoints);
 }
 
-bool connection_locator::needs_list_after(std::optional<time_point> as_of) const
+bool connection_locator::needs_list_after(time_point as_of) const
 {
-    return std::any_of(this->pending.begin(), this->pending.end(),
-                       [as_of](auto const& one) {
-                           return !as_of || one.second.arrived_at > *as_of;
-                       });
+    return std::any_of(
+        this->pending.begin(), this->pending.end(), [as_of](auto const& one) {
+            return one.second.denied_in != 0 && one.second.arrived_at > as_of;
+        });
 }
 
 std::size_t connection_locator::size() const
--- a/src/placement/connection_locator.hpp
+++ b/src/placement/connection_locator.hpp
@@ -129,9 +129,9 @@
 
     bool is_pending(connection_endpoints const& endpoints) const;
 
-    // Whether a connection was added after `as_of`, so that a more recent list
-    // is needed to decide about it.
-    bool needs_list_after(std::optional<time_point> as_of) const;
+    // Whether a connection that all targets have denied was added after
+    // `as_of`, so that only a more recent list is missing.
+    bool needs_list_after(time_point as_of) const;
 
     // Returns whether this was the last answer of a round.
     bool on_reply(peer_address from, locate_reply const& reply);
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -114,7 +114,8 @@
     auto operator<=>(located_connection const&) const = default;
 };
 
-constexpr std::size_t max_located_connections = 64;  // in one query
+// In one query, which then fits into a datagram.
+constexpr std::size_t max_located_connections = 48;
 
 struct locate_query
 {
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -828,12 +828,16 @@
         request_kind const& kind =
             this->kinds[this->requests[one.request].kind];
         one.is_finished = true;
-        if (one.pause)
-            return;  // the session notices at the deadline of its request
-        if (one.is_open && !kind.is_idempotent)
-            this->finish_request(one.request, completion_status::failed);
-        else
-            this->begin_attempt(one.request, one.data_centre);
+        // A session whose request can't be repeated goes on after its deadline.
+        std::optional<duration> const pause = one.pause;
+        if (one.is_open && !kind.is_idempotent) {
+            if (!pause)
+                this->finish_request(one.request, completion_status::failed);
+            return;
+        }
+        this->begin_attempt(one.request, one.data_centre);
+        if (pause)
+            this->attempts.back().pause = pause;
     }
 
     // -- entries
