--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -15,6 +15,7 @@
 #include "flow/ranking.hpp"
 #include "membership/adoption.hpp"
 #include "membership/evacuation_notifier.hpp"
+#include "placement/connection_locator.hpp"
 #include "placement/owner_table.hpp"
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
@@ -44,6 +45,13 @@
     auto operator<=>(answer_from_target const&) const = default;
 };
 
+struct locate_answer
+{
+    peer_address from = {};
+    locate_reply reply = {};
+    auto operator<=>(locate_answer const&) const = default;
+};
+
 // The seed peers in the settings have changed.
 struct seeds_changed
 {
@@ -52,9 +60,10 @@
 };
 
 using connection_entry_event =
-    std::variant<packet_from_caller, answer_from_target, digest_packet,
-                 update_packet, change_request_packet, change_received,
-                 change_unavailable, clock_tick, stop_requested, seeds_changed>;
+    std::variant<packet_from_caller, answer_from_target, locate_answer,
+                 digest_packet, update_packet, change_request_packet,
+                 change_received, change_unavailable, clock_tick,
+                 stop_requested, seeds_changed>;
 
 // ---- effects ------------------------------------------------------------
 
@@ -90,6 +99,7 @@
     dropped,   // held too long, or too many are; the caller retransmits it
     owner_found,  // a search found the owner of an open connection
     owner_lost,   // dropped: no target was found to own the connection
+    lost,         // reset: no living back end holds the connection
     returned      // a target returned the packet: it cannot use it
 };
 
@@ -135,10 +145,10 @@
 };
 
 using connection_entry_effect =
-    std::variant<send_offer, reset_caller, send_digest, send_update,
-                 fetch_from_peer, read_platform, generation_adopted,
-                 report_failure, placement_note, status_change_note,
-                 send_evacuation_notice>;
+    std::variant<send_offer, send_locate_query, reset_caller, send_digest,
+                 send_update, fetch_from_peer, read_platform,
+                 generation_adopted, report_failure, placement_note,
+                 status_change_note, send_evacuation_notice>;
 using connection_entry_effects = std::vector<connection_entry_effect>;
 
 // ---- connection_entry ---------------------------------------------------
@@ -159,6 +169,10 @@
     bool prefer_home_data_centre = false;
     departure_limits departure = {};
 
+    // Whether connections that no living back end holds are reset.
+    bool reset_lost_connections = false;
+    locator_limits locator = {};
+
     auto operator<=>(connection_entry_settings const&) const = default;
 };
 
@@ -209,6 +223,8 @@
                   time_point now);
     void on_event(effects_type& effects, answer_from_target const& event,
                   time_point now);
+    void on_event(effects_type& effects, locate_answer const& event,
+                  time_point now);
     void on_event(effects_type& effects, digest_packet const& event,
                   time_point now);
     void on_event(effects_type& effects, update_packet const& event,
@@ -250,6 +266,19 @@
                            placement_note const& note, time_point now);
     void suspend_search(effects_type& effects, placement_failed const& failed,
                         placement_note const& note, time_point now);
+    bool may_locate() const;
+    void locate(effects_type& effects, connection_packet const& packet,
+                time_point now);
+    located_targets list_located_targets() const;
+    void advance_locator(effects_type& effects, time_point now);
+    void handle_outcome(effects_type& effects, send_locate_query const& query,
+                        time_point now);
+    void handle_outcome(effects_type& effects, connection_held const& held,
+                        time_point now);
+    void handle_outcome(effects_type& effects, try_at_target const& trial,
+                        time_point now);
+    void handle_outcome(effects_type& effects, connection_lost const& lost,
+                        time_point now);
     void start_placement(effects_type& effects,
                          placement_request const& request, time_point now);
     void hold(effects_type& effects, connection_packet const& packet,
@@ -295,6 +324,7 @@
     refusal_history refusals = {};
     search_table searches = {};
     evacuation_notifier evacuations;
+    connection_locator locator;
     bool was_platform_reachable = false;
     bool is_resuming = false;  // after a pause, until the catalog is confirmed
     bool is_owner_table_full = false;
@@ -305,3 +335,4 @@
 }  // namespace lagoon
 
 #include "entry/connection_entry.ipp"
+#include "entry/lost_connections.ipp"
--- a/src/programs/connection_settings.cpp
+++ b/src/programs/connection_settings.cpp
@@ -34,11 +34,12 @@
 entry_process_settings read_entry(json_checker& checker,
                                   json_node const& object)
 {
-    checker.check_keys(
-        object, {"name", "data_centre", "packets", "exchange", "control",
-                 "ready", "metrics", "platform", "seeds", "change_limit_ms",
-                 "evacuation_limit_ms", "prefer_home_data_centre", "log_level",
-                 "log_lines_per_second"});
+    checker.check_keys(object,
+                       {"name", "data_centre", "packets", "exchange", "control",
+                        "ready", "metrics", "platform", "seeds",
+                        "change_limit_ms", "evacuation_limit_ms",
+                        "prefer_home_data_centre", "reset_lost_connections",
+                        "log_level", "log_lines_per_second"});
     entry_process_settings settings{
         .name = checker.read_text(object, "name"),
         .data_centre = checker.read_text(object, "data_centre"),
@@ -54,6 +55,9 @@
         .prefer_home_data_centre =
             checker.has(object, "prefer_home_data_centre") &&
             checker.read_flag(object, "prefer_home_data_centre"),
+        .reset_lost_connections =
+            checker.has(object, "reset_lost_connections") &&
+            checker.read_flag(object, "reset_lost_connections"),
         .log = read_log(checker, object),
     };
     for (json_node const& item : checker.read_list(object, "seeds"))
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -41,6 +41,7 @@
     duration change_limit = {};      // deadline for applying a platform change
     duration evacuation_limit = {};  // the same for evacuations; 0: none
     bool prefer_home_data_centre = false;  // optional in the file
+    bool reset_lost_connections = false;   // see connection_entry_settings
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -190,6 +190,7 @@
         connection_target_settings settings = this->target_settings;
         settings.service = make_service_id(node.service);
         settings.is_table_complete = this->time == start_time;
+        settings.process_started_at_ms = this->unix_milliseconds();
         node.core =
             std::make_unique<connection_target<Q>>(settings, this->time);
         node.incarnation = ++this->last_incarnation;
@@ -210,6 +211,7 @@
         node.back_end = {};
         node.back_end.is_alive = true;
         node.back_end.incarnation = ++this->last_incarnation;
+        node.back_end.started_at_ms = this->unix_milliseconds();
         node.back_end.warm_up_until =
             this->time == start_time ? this->time
                                      : this->time + node.traits.warm_up_time;
@@ -390,6 +392,10 @@
         return this->targets[index].accepted_count;
     }
 
+    // Resets by entries of connections that a back end holds, open on both
+    // sides.
+    std::size_t wrong_resets = 0;
+    std::size_t locate_queries = 0;
     std::vector<simulated_request> requests = {};
     std::vector<placement_note> placement_notes = {};
     std::vector<tracking_note> tracking_notes = {};
@@ -483,6 +489,7 @@
     {
         bool is_alive = false;
         std::uint64_t incarnation = 0;
+        std::uint64_t started_at_ms = 0;
         time_point warm_up_until = {};
         double slowdown = 1;
         double reset_share = 0;  // of the requests
@@ -841,12 +848,16 @@
         request_kind const& kind =
             this->kinds[this->requests[one.request].kind];
         one.is_finished = true;
-        if (one.pause)
-            return;  // the session notices at the deadline of its request
-        if (one.is_open && !kind.is_idempotent)
-            this->finish_request(one.request, completion_status::failed);
-        else
-            this->begin_attempt(one.request, one.data_centre);
+        // A session whose request can't be repeated goes on after its deadline.
+        std::optional<duration> const pause = one.pause;
+        if (one.is_open && !kind.is_idempotent) {
+            if (!pause)
+                this->finish_request(one.request, completion_status::failed);
+            return;
+        }
+        this->begin_attempt(one.request, one.data_centre);
+        if (pause)
+            this->attempts.back().pause = pause;
     }
 
     // -- entries
@@ -937,14 +948,46 @@
         });
     }
 
+    void perform_entry(std::size_t index, send_locate_query const& effect)
+    {
+        ++this->locate_queries;
+        std::size_t const target = effect.to.ip - target_ip;
+        if (target >= this->targets.size() || this->draw_loss())
+            return;
+        locate_request request{this->entries[index].address, effect.query};
+        request.query.sent_at_ms = this->unix_milliseconds();
+        this->schedule(this->hop_delay(this->entries[index].data_centre,
+                                       this->targets[target].data_centre),
+                       [this, target, request] {
+                           locate_request received = request;
+                           received.received_at_ms = this->unix_milliseconds();
+                           this->feed_target(target, received);
+                       });
+    }
+
     void perform_entry(std::size_t, reset_caller const& effect)
     {
+        this->check_reset(effect.packet.endpoints);
         this->schedule(this->network.caller_delay,
                        [this, endpoints = effect.packet.endpoints] {
                            this->deliver_reset_to_caller(endpoints);
                        });
     }
 
+    std::uint64_t unix_milliseconds() const
+    {
+        return static_cast<std::uint64_t>(this->time.time_since_epoch() / 1ms);
+    }
+
+    void check_reset(connection_endpoints const& endpoints)
+    {
+        for (target_node const& target : this->targets) {
+            auto const held = target.back_end.connections.find(endpoints);
+            this->wrong_resets += held != target.back_end.connections.end() &&
+                                  held->second.is_request_received;
+        }
+    }
+
     template <class Packet, class Effect>
     void send_to_peer(std::size_t index, Effect const& effect)
     {
@@ -1128,6 +1171,19 @@
                        });
     }
 
+    void perform_target(std::size_t index, answer_locate_query const& effect)
+    {
+        std::size_t const to = effect.to.ip - entry_ip;
+        if (to >= this->entries.size() || this->draw_loss())
+            return;
+        locate_answer const event{this->targets[index].address, effect.reply};
+        this->schedule(this->hop_delay(this->targets[index].data_centre,
+                                       this->entries[to].data_centre),
+                       [this, to, event] {
+                           this->feed_entry(to, event);
+                       });
+    }
+
     void perform_target(std::size_t, forward_to_caller const& effect)
     {
         this->schedule(this->network.caller_delay,
@@ -1307,7 +1363,7 @@
                                  node.address,
                                  node.address,
                                  node.traits.slots,
-                                 node.back_end.incarnation,
+                                 node.back_end.started_at_ms,
                                  {node.back_end.incarnation},
                                  this->leaving.contains(index)
                                      ? target_state::leaving
