Limit connections to cold back ends and report the load of open ones

Cause: after a restart a back end is cold, and nothing limited the opening packets that it gets from all entries together. The load that a target reported was momentary, so a target whose connections paused was assigned many more.

Change: opening offers to a joining target carry the limit of its service. The target keeps a sliding window over the opening packets that it sent; above the limit it answers busy, or queues a last resort and refuses it if the limit cannot start it in time. While it waits for the limit it reports the load of a full target. Replies to offers carry the expected load of the open connections in a field of its own, which orders targets and never makes one busy.

--- a/src/admission/admission.hpp
+++ b/src/admission/admission.hpp
@@ -8,6 +8,7 @@
 //   admission_controller   the aggregate, over a queue policy and a predictor
 #pragma once
 
+#include "admission/open_rate_limit.hpp"
 #include "admission/prediction.hpp"
 #include "admission/queues.hpp"
 
@@ -82,10 +83,12 @@
 
     // Queues a request, or returns why it is refused. A request is refused on
     // arrival if its predicted wait exceeds max_wait_share of the time to its
-    // deadline, so that there is time left to try another target.
+    // deadline, so that there is time left to try another target. `pace` is set
+    // if the back end limits how fast requests start.
     std::optional<refusal> enqueue(request_key key, request_class const& kind,
                                    request_urgency const& urgency,
-                                   time_point now)
+                                   time_point now,
+                                   std::optional<start_pace> pace = {})
     {
         duration const predicted_time = this->predictor.predict(kind);
         duration const needed_time =
@@ -100,7 +103,8 @@
             compute_latest_start(urgency.objective, needed_time),
             compute_latest_start(deadline, needed_time),
             urgency.priority};
-        duration const wait = this->predict_wait(request, now);
+        duration const wait = std::max(this->predict_wait(request, now),
+                                       this->predict_paced_wait(request, pace));
         if (this->queue.size() >= this->limits.max_queue_length)
             return refusal{reason::overloaded, wait};
         bool const is_wait_too_long =
@@ -254,7 +258,26 @@
         return this->queue.predict_time_before(request) / open;
     }
 
+    std::size_t running_count() const
+    {
+        return this->running.size();
+    }
+
 private:
+    // Returns the time until `request` can start if it were queued now and
+    // slots were free.
+    duration predict_paced_wait(waiting_request const& request,
+                                std::optional<start_pace> const& pace) const
+    {
+        if (!pace)
+            return {};
+        auto count = static_cast<std::int64_t>(this->queue.size());
+        if constexpr (requires { this->queue.count_before(request); })
+            count =
+                static_cast<std::int64_t>(this->queue.count_before(request));
+        return pace->until_first + pace->interval * count;
+    }
+
     struct running_request
     {
         waiting_request request = {};
--- a/src/admission/objective_queue.hpp
+++ b/src/admission/objective_queue.hpp
@@ -64,6 +64,17 @@
         return sum;
     }
 
+    // Returns the number of requests that start before `request` if it is queued
+    // now.
+    std::size_t count_before(waiting_request const& request) const
+    {
+        return static_cast<std::size_t>(std::count_if(
+            this->waiting.begin(), this->waiting.end(),
+            [&request](waiting_request const& one) {
+                return !precedes(request, one, request.arrived_at);
+            }));
+    }
+
     // Removes and returns requests that would miss their deadline if they
     // started now.
     std::vector<waiting_request> remove_expired(time_point now)
--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -17,6 +17,7 @@
 #include "placement/refusal_history.hpp"
 #include "placement/search_table.hpp"
 #include "placement/target_directory.hpp"
+#include "placement/warm_up_rate.hpp"
 
 #include <deque>
 #include <optional>
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -220,8 +220,12 @@
                                                     returned_by, now);
     std::vector<placement_candidate> targets;
     targets.reserve(ranked.size());
+    std::uint32_t const warm_up_rate =
+        find_warm_up_rate(this->config.routes().warm_up_limits, *service);
     for (target_record const* target : ranked)
-        targets.push_back({target->address, target->slots, *service});
+        targets.push_back(
+            {target->address, target->slots, *service, false,
+             target->state == target_state::joining ? warm_up_rate : 0});
     detail::move_candidates(targets,
                             is_retransmission ? std::optional{owner->target}
                                               : std::nullopt,
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -61,7 +61,7 @@
             {candidate,
              is_busy || candidate.is_unsure ? candidate_state::busy
                                             : candidate_state::not_queried,
-             is_busy ? hints.load(candidate.address) : 0});
+             is_busy ? hints.load_to_compare(candidate.address) : 0});
     }
     if (record.candidates.empty())
         return {this->make_failed(record, false)};
@@ -280,6 +280,7 @@
     if (request.packet.is_opening) {
         attributes = request.attributes;
         attributes->age = now - request.requested_at;
+        attributes->opens_per_second = candidate.target.opens_per_second;
     }
     return query_target{candidate.target.address,
                         {record.query, candidate.target.service,
@@ -328,7 +329,8 @@
 void placer<P>::update_hints(offer_reply const& answer, peer_address target,
                              target_hints& hints, time_point now) const
 {
-    hints.record_load(target, answer.load, answer.slots, now);
+    hints.record_load(target, answer.load, answer.slots, now,
+                      answer.expected_load);
     bool const is_unusable = answer.verdict == offer_verdict::no_answer ||
                              answer.verdict == offer_verdict::leaving;
     if (is_unusable)
@@ -443,7 +445,7 @@
                                         answer.verdict == offer_verdict::unsure;
     if (accepts_as_last_resort && !record.is_last_resort) {
         candidate.state = candidate_state::busy;
-        candidate.load = answer.load;
+        candidate.load = std::max(answer.load, answer.expected_load);
         record.busy_count += 1;
     }
     return this->query_next(record, now);
--- a/src/placement/policies.hpp
+++ b/src/placement/policies.hpp
@@ -26,7 +26,8 @@
     peer_address address = {};
     std::uint32_t slots = 0;
     service_id service = {};
-    bool is_unsure = false;  // replied so earlier in this search
+    bool is_unsure = false;              // replied so earlier in this search
+    std::uint32_t opens_per_second = 0;  // limit of a cold back end; 0: none
     auto operator<=>(placement_candidate const&) const = default;
 };
 
@@ -126,6 +127,10 @@
 // the preferred targets are busy. Recent replies save the round trips to those
 // and the entry's processor time: with a twentieth of a core, an entry cannot
 // send five queries per connection at peak load.
+//
+// Load pattern: callers keep connections open and pause between requests. A
+// target may have free slots although its open connections need all of them on
+// average. Such targets come after the other free ones.
 struct free_first
 {
     static constexpr std::size_t max_busy_replies = 4;
@@ -138,9 +143,14 @@
         ranked_candidates ordered = ranked;
         auto const preferred_end = static_cast<std::ptrdiff_t>(
             std::min(ordered.size(), preferred_count));
-        std::stable_partition(ordered.begin(), ordered.begin() + preferred_end,
+        auto const free_end = std::stable_partition(
+            ordered.begin(), ordered.begin() + preferred_end,
+            [&](placement_candidate const& candidate) {
+                return !hints.is_reported_busy(candidate.address, now);
+            });
+        std::stable_partition(ordered.begin(), free_end,
                               [&](placement_candidate const& candidate) {
-                                  return !hints.is_reported_busy(
+                                  return !hints.is_expected_busy(
                                       candidate.address, now);
                               });
         return ordered;
--- a/src/placement/target_hints.cpp
+++ b/src/placement/target_hints.cpp
@@ -22,9 +22,11 @@
 }  // namespace
 
 void target_hints::record_load(peer_address target, std::uint32_t load,
-                               std::uint32_t slots, time_point now)
+                               std::uint32_t slots, time_point now,
+                               std::uint32_t expected_load)
 {
-    this->hints.insert_or_assign(target, target_hint{load, slots, now, 0, {}});
+    this->hints.insert_or_assign(
+        target, target_hint{load, slots, expected_load, now, 0, {}});
 }
 
 void target_hints::record_timeout(peer_address target, time_point now)
@@ -53,6 +55,22 @@
     return this->load_per_slot(target, now) >= 1.0;
 }
 
+bool target_hints::is_expected_busy(peer_address target, time_point now) const
+{
+    auto const found = this->hints.find(target);
+    return found != this->hints.end() && found->second.slots > 0 &&
+           now - found->second.reported_at <= expected_load_lifetime &&
+           found->second.expected_load >= found->second.slots;
+}
+
+std::uint32_t target_hints::load_to_compare(peer_address target) const
+{
+    auto const found = this->hints.find(target);
+    return found == this->hints.end()
+               ? 0
+               : std::max(found->second.load, found->second.expected_load);
+}
+
 void target_hints::record_placement(peer_address target)
 {
     auto const found = this->hints.find(target);
--- a/src/placement/target_hints.hpp
+++ b/src/placement/target_hints.hpp
@@ -17,8 +17,9 @@
 
 struct target_hint
 {
-    std::uint32_t load = 0;   // requests at the target
-    std::uint32_t slots = 0;  // requests it can run at once; 0: unknown
+    std::uint32_t load = 0;           // requests at the target
+    std::uint32_t slots = 0;          // requests it can run at once; 0: unknown
+    std::uint32_t expected_load = 0;  // of its open connections
     time_point reported_at = {};
     std::uint32_t timeout_count = 0;  // consecutive queries without an answer
     time_point avoided_until = {};
@@ -32,6 +33,10 @@
 constexpr duration lifetime_per_waiting_request = std::chrono::milliseconds{8};
 constexpr duration max_load_lifetime = std::chrono::milliseconds{150};
 
+// How long a reported expected load is used. It is a mean over one to two
+// seconds and changes accordingly slowly.
+constexpr duration expected_load_lifetime = std::chrono::seconds{1};
+
 // How long a target is avoided after a query without an answer. It doubles with
 // each further one, so that a single lost datagram costs little and a dead
 // target is queried about once a second.
@@ -45,7 +50,8 @@
 public:
     // Stores the load that a target reported.
     void record_load(peer_address target, std::uint32_t load,
-                     std::uint32_t slots, time_point now);
+                     std::uint32_t slots, time_point now,
+                     std::uint32_t expected_load = 0);
     // Counts a query without an answer and avoids the target for a while.
     void record_timeout(peer_address target, time_point now);
 
@@ -62,6 +68,13 @@
     // slot.
     bool is_reported_busy(peer_address target, time_point now) const;
 
+    // Whether the open connections of the target need all its slots on average,
+    // according to a current report. A slot may be free nevertheless.
+    bool is_expected_busy(peer_address target, time_point now) const;
+
+    // The larger of load() and the expected load, to choose among busy targets.
+    std::uint32_t load_to_compare(peer_address target) const;
+
     // The latest reported load plus connections placed since, whatever its
     // age; 0 if unknown.
     std::uint32_t load(peer_address target) const;
--- a/src/protocol/relay.hpp
+++ b/src/protocol/relay.hpp
@@ -91,6 +91,9 @@
     std::uint32_t load = 0;   // requests running or queued
     std::uint32_t slots = 0;  // requests that can run concurrently
     std::string bytes = {};   // the packet, if it is returned
+
+    // Requests that the open connections run at once on average.
+    std::uint32_t expected_load = 0;
     auto operator<=>(offer_reply const&) const = default;
 };
 
--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -10,7 +10,9 @@
 #pragma once
 
 #include "admission/admission.hpp"
+#include "admission/expected_load.hpp"
 #include "admission/objective_queue.hpp"
+#include "admission/open_rate_limit.hpp"
 #include "membership/adoption.hpp"
 #include "tracking/back_end_health.hpp"
 #include "tracking/back_end_monitor.hpp"
@@ -224,10 +226,13 @@
     bool try_start(entry_offer const& event, time_point now);
     bool is_unhealthy(time_point now) const;
     std::uint32_t reported_load(time_point now) const;
+    offer_reply make_reply(query_id query, offer_verdict verdict,
+                           std::string const& bytes, time_point now) const;
     void record_outcome(effects_type& effects,
                         connection_endpoints const& endpoints,
                         request_result result, time_point now);
-    request_class make_request_class(peer_address route) const;
+    request_class make_request_class(connection_endpoints const& endpoints,
+                                     peer_address route) const;
     tracking_note make_note(tracking_result result,
                             connection_endpoints const& endpoints,
                             duration elapsed) const;
@@ -237,6 +242,8 @@
     connection_table connections;
     back_end_monitor monitor = {};
     back_end_health health;
+    open_rate_limit open_limit;
+    expected_load usual_load;
     waiting_opens queued_opens = {};
     time_point started_at;
     std::optional<time_point> stopping_since = {};
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -31,7 +31,7 @@
                                            time_point now)
     : settings(settings), admission_control(settings.admission, now),
       connections(settings.connections), health(settings.health),
-      started_at(now)
+      open_limit(now), usual_load(now), started_at(now)
 {
 }
 
@@ -46,6 +46,9 @@
             this->on_event(effects, one, now);
         },
         event);
+    this->usual_load.record({this->admission_control.running_count(),
+                             this->connections.open_count()},
+                            now);
     return effects;
 }
 
@@ -59,6 +62,10 @@
     if (this->admission_control.queue_length() > 0)
         due =
             std::min(due.value_or(now + queue_interval), now + queue_interval);
+    // Only a time to come: a slot may be missing, too.
+    time_point const next_open = this->open_limit.next_allowed(now);
+    if (this->admission_control.queue_length() > 0 && next_open > now)
+        due = std::min(*due, next_open);
     return due;
 }
 
@@ -94,10 +101,10 @@
 }
 
 template <queue_policy Q, running_time_predictor T>
-request_class
-connection_target<Q, T>::make_request_class(peer_address route) const
+request_class connection_target<Q, T>::make_request_class(
+    connection_endpoints const& endpoints, peer_address route) const
 {
-    return {{}, hash_pair(route.ip, route.port), {}};
+    return {{endpoints.caller.ip}, hash_pair(route.ip, route.port), {}};
 }
 
 template <queue_policy Q, running_time_predictor T>
@@ -122,11 +129,23 @@
     bool const is_query = event.offer.query != query_id{};
     if (!is_query && !is_packet_returned)
         return;
-    effects.push_back(
-        reply_to_entry{event.from,
-                       {event.offer.query, verdict, this->reported_load(now),
-                        this->admission_control.slots(),
-                        is_query ? std::string{} : event.packet.bytes}});
+    effects.push_back(reply_to_entry{
+        event.from, this->make_reply(event.offer.query, verdict,
+                                     is_query ? "" : event.packet.bytes, now)});
+}
+
+template <queue_policy Q, running_time_predictor T>
+offer_reply connection_target<Q, T>::make_reply(query_id query,
+                                                offer_verdict verdict,
+                                                std::string const& bytes,
+                                                time_point now) const
+{
+    return {query,
+            verdict,
+            this->reported_load(now),
+            this->admission_control.slots(),
+            bytes,
+            this->usual_load.estimate(now)};
 }
 
 // ---- offers from entries ------------------------------------------------
@@ -141,6 +160,10 @@
     }
     if (event.offer.slots > 0)
         this->admission_control.set_slots(event.offer.slots);
+    if (event.offer.attributes)
+        this->open_limit.set_rate({event.offer.attributes->opens_per_second,
+                                   event.offer.attributes->config_generation},
+                                  now);
     if (event.packet.is_opening)
         this->handle_open(effects, event, now);
     else
@@ -232,8 +255,9 @@
     connection_record const& record = *this->connections.find(packet.endpoints);
     std::optional<refusal> const refused = this->admission_control.enqueue(
         detail::make_request_key(packet.endpoints),
-        this->make_request_class(record.route),
-        detail::make_urgency(event.offer, now), now);
+        this->make_request_class(packet.endpoints, record.route),
+        detail::make_urgency(event.offer, now), now,
+        this->open_limit.pace(now));
     if (refused) {
         this->connections.erase(packet.endpoints);
         tracking_note note =
@@ -280,16 +304,21 @@
     next.last_used = now;
     this->connections.put(packet.endpoints, next);
     this->monitor.record_open(packet.endpoints, packet.bytes, now);
+    this->open_limit.record_sent(now);
     effects.push_back(send_to_back_end{packet.bytes});
 }
 
-// Sends queued opening packets to the back end while slots are free.
+// Sends queued opening packets to the back end while slots are free and the
+// limit of a cold back end permits it.
 template <queue_policy Q, running_time_predictor T>
 void connection_target<Q, T>::start_queued(effects_type& effects,
                                            time_point now)
 {
-    while (std::optional<waiting_request> const next =
-               this->admission_control.start_next(now)) {
+    while (this->open_limit.may_send(now)) {
+        std::optional<waiting_request> const next =
+            this->admission_control.start_next(now);
+        if (!next)
+            return;
         std::optional<waiting_open> const one =
             this->queued_opens.take(next->key.flow);
         if (one && this->connections.find(one->packet.endpoints) != nullptr)
@@ -340,7 +369,8 @@
 bool connection_target<Q, T>::try_start(entry_offer const& event,
                                         time_point now)
 {
-    if (!this->admission_control.has_free_slot(now))
+    if (!this->admission_control.has_free_slot(now) ||
+        !this->open_limit.may_send(now))
         return false;
     if (!this->is_unhealthy(now))
         return true;
@@ -356,10 +386,23 @@
 template <queue_policy Q, running_time_predictor T>
 std::uint32_t connection_target<Q, T>::reported_load(time_point now) const
 {
+    std::uint32_t const slots = this->admission_control.slots();
     std::uint32_t const extra_load =
         this->is_unhealthy(now) ? this->settings.unhealthy_load_per_slot : 0;
-    return this->admission_control.load() +
-           extra_load * this->admission_control.slots();
+    std::uint32_t const load =
+        this->admission_control.load() + extra_load * slots;
+    std::optional<start_pace> const pace = this->open_limit.pace(now);
+    if (!pace || pace->until_first <= duration{})
+        return load;
+    // Until the limit of a cold back end permits the next opening packet, the
+    // target counts as full, with the requests that the slots could serve while
+    // another request waits.
+    auto const queue_length =
+        static_cast<std::int64_t>(this->admission_control.queue_length());
+    duration const wait = pace->until_first + pace->interval * queue_length;
+    auto const requests =
+        static_cast<std::uint32_t>(wait / default_running_time);
+    return std::max(load, slots) + requests * slots;
 }
 
 // ---- other packets of callers -------------------------------------------
@@ -435,7 +478,8 @@
             this->admission_control.mark_started(key, now);
         else
             this->admission_control.start_unqueued(
-                key, this->make_request_class(record.route), now);
+                key, this->make_request_class(packet.endpoints, record.route),
+                now);
     }
     if (packet.is_reset)
         this->admission_control.release(key);
@@ -547,14 +591,12 @@
         this->connections.put(packet.endpoints, next);
     }
     if (record.entry != peer_address{})
-        effects.push_back(
-            reply_to_entry{record.entry,
-                           {{},
-                            packet.is_opening ? offer_verdict::no_answer
-                                              : offer_verdict::not_owner,
-                            this->reported_load(now),
-                            this->admission_control.slots(),
-                            packet.bytes}});
+        effects.push_back(reply_to_entry{
+            record.entry,
+            this->make_reply({},
+                             packet.is_opening ? offer_verdict::no_answer
+                                               : offer_verdict::not_owner,
+                             packet.bytes, now)});
     this->start_queued(effects, now);
 }
 
@@ -572,12 +614,9 @@
                                              one.endpoints, now - one.sent_at);
         note.entry = record->entry;
         effects.push_back(note);
-        effects.push_back(reply_to_entry{record->entry,
-                                         {{},
-                                          offer_verdict::no_answer,
-                                          this->reported_load(now),
-                                          this->admission_control.slots(),
-                                          one.bytes}});
+        effects.push_back(reply_to_entry{
+            record->entry,
+            this->make_reply({}, offer_verdict::no_answer, one.bytes, now)});
         this->admission_control.release(
             detail::make_request_key(one.endpoints));
     }
@@ -594,12 +633,9 @@
         note.entry = open->entry;
         note.retransmission_count = open->packet.retransmission_count;
         effects.push_back(note);
-        effects.push_back(reply_to_entry{open->entry,
-                                         {{},
-                                          offer_verdict::refused,
-                                          this->reported_load(now),
-                                          this->admission_control.slots(),
-                                          open->packet.bytes}});
+        effects.push_back(reply_to_entry{
+            open->entry, this->make_reply({}, offer_verdict::refused,
+                                          open->packet.bytes, now)});
     }
     this->release_stale_slots(effects, now);
     this->start_queued(effects, now);
--- a/src/tracking/connections.cpp
+++ b/src/tracking/connections.cpp
@@ -17,6 +17,16 @@
     return record.is_caller_finished && record.is_target_finished;
 }
 
+bool is_open(connection_record const& record)
+{
+    bool const is_at_back_end = record.stage == connection_stage::opening ||
+                                record.stage == connection_stage::open ||
+                                record.stage == connection_stage::requested ||
+                                record.stage == connection_stage::responding;
+    return is_at_back_end && !record.is_caller_finished &&
+           !record.is_target_finished;
+}
+
 }  // namespace
 
 bool acknowledges_sent_data(connection_record const& record,
@@ -44,18 +54,25 @@
 {
     auto const found = this->connections.find(endpoints);
     if (found != this->connections.end()) {
+        this->unfinished_count -= is_open(found->second) ? 1U : 0U;
+        this->unfinished_count += is_open(record) ? 1U : 0U;
         found->second = record;
         return true;
     }
     if (this->connections.size() >= this->limits.max_connections)
         return false;
     this->connections.emplace(endpoints, record);
+    this->unfinished_count += is_open(record) ? 1U : 0U;
     return true;
 }
 
 void connection_table::erase(connection_endpoints const& endpoints)
 {
-    this->connections.erase(endpoints);
+    auto const found = this->connections.find(endpoints);
+    if (found == this->connections.end())
+        return;
+    this->unfinished_count -= is_open(found->second) ? 1U : 0U;
+    this->connections.erase(found);
 }
 
 bool connection_table::is_expired(connection_record const& record,
@@ -74,7 +91,10 @@
     sweep_incrementally(this->connections, this->next_bucket,
                         [this, now](connection_endpoints const&,
                                     connection_record const& record) {
-                            return this->is_expired(record, now);
+                            bool const expires = this->is_expired(record, now);
+                            if (expires && is_open(record))
+                                --this->unfinished_count;
+                            return expires;
                         });
 }
 
@@ -95,4 +115,9 @@
     return this->connections.size();
 }
 
+std::size_t connection_table::open_count() const
+{
+    return this->unfinished_count;
+}
+
 }  // namespace lagoon
--- a/src/tracking/connections.hpp
+++ b/src/tracking/connections.hpp
@@ -85,11 +85,16 @@
 
     std::size_t size() const;
 
+    // Connections that were sent to the back end and that neither end has
+    // finished, so that they may carry further requests.
+    std::size_t open_count() const;
+
 private:
     bool is_expired(connection_record const& record, time_point now) const;
 
     connection_limits limits;
-    std::size_t next_bucket = 0;  // where the next sweep starts
+    std::size_t next_bucket = 0;       // where the next sweep starts
+    std::size_t unfinished_count = 0;  // see open_count()
     std::unordered_map<connection_endpoints, connection_record,
                        detail::endpoints_hash>
         connections = {};
--- a/src/wire/relay_codec.cpp
+++ b/src/wire/relay_codec.cpp
@@ -26,12 +26,13 @@
 
 void write(packet_writer& out, offer_reply const& answer)
 {
-    out.begin_packet(5, packet_kind::offer_reply);
+    out.begin_packet(6, packet_kind::offer_reply);
     out.put(std::uint64_t{answer.query.value});
     out.put(static_cast<std::uint64_t>(answer.verdict));
     out.put(std::uint64_t{answer.load});
     out.put(std::uint64_t{answer.slots});
     out.put(std::string_view{answer.bytes});
+    out.put(std::uint64_t{answer.expected_load});
 }
 
 void write(packet_writer& out, evacuation_notice const& notice)
@@ -113,7 +114,10 @@
     auto const load = static_cast<std::uint32_t>(in.read_number(UINT32_MAX));
     auto const slots = static_cast<std::uint32_t>(in.read_number(UINT32_MAX));
     std::string_view const bytes = in.read_bytes(max_datagram_size);
-    return {query, verdict, load, slots, std::string{bytes}};
+    auto const expected_load =
+        in.has_more() ? static_cast<std::uint32_t>(in.read_number(UINT32_MAX))
+                      : 0U;
+    return {query, verdict, load, slots, std::string{bytes}, expected_load};
 }
 
 evacuation_notice read_evacuation_notice(field_reader& in)
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -42,6 +42,7 @@
     bool is_idempotent = true;
     double value = 1;         // earned when answered within the objective
     double late_value = 0.1;  // share of `value` earned when answered later
+    std::size_t clients = 0;  // addresses of its callers; 0: all of them
     auto operator<=>(request_kind const&) const = default;
 };
 
@@ -265,6 +266,7 @@
             if (!this->unlisted.contains(i))
                 update.keys.push_back(this->make_target_key(i));
         published_routes routes{this->revision, {}, 15s};
+        routes.warm_up_limits = this->warm_up_limits;
         for (request_kind const& kind : this->kinds)
             routes.routes.push_back({kind.route,
                                      {{make_service_id(kind.service), 1}},
@@ -377,6 +379,21 @@
         return this->targets[index].accepted_count;
     }
 
+    // Returns the largest number of connections that the back end accepted in
+    // any span of this length since `from`.
+    std::size_t max_accepted_within(std::size_t index, duration span,
+                                    time_point from) const
+    {
+        std::vector<time_point> const& all = this->targets[index].accepted_at;
+        std::size_t largest = 0;
+        for (auto first = std::lower_bound(all.begin(), all.end(), from);
+             first != all.end(); ++first) {
+            auto const last = std::lower_bound(first, all.end(), *first + span);
+            largest = std::max(largest, static_cast<std::size_t>(last - first));
+        }
+        return largest;
+    }
+
     std::vector<simulated_request> requests = {};
     std::vector<placement_note> placement_notes = {};
     std::vector<tracking_note> tracking_notes = {};
@@ -392,7 +409,9 @@
     std::set<std::size_t> withdrawn = {};  // entries without caller packets
     std::set<std::size_t> unlisted = {};   // targets left out of publish()
     std::set<std::size_t> leaving = {};    // targets published as leaving
-    std::set<std::size_t> cut_off_entries = {};  // cannot read the platform
+    std::set<std::size_t> joining = {};    // targets published as joining
+    std::vector<warm_up_limit> warm_up_limits = {};  // sorted by service
+    std::set<std::size_t> cut_off_entries = {};      // cannot read the platform
     bool is_platform_up = true;
     std::size_t platform_calls = 0;
     std::size_t resets = 0;             // received by callers
@@ -484,6 +503,7 @@
         std::uint64_t incarnation = 0;
         fake_back_end back_end = {};
         std::size_t accepted_count = 0;
+        std::vector<time_point> accepted_at = {};
         time_point tick_at = {};
     };
 
@@ -627,14 +647,15 @@
     // Each attempt uses a new port at the caller's address.
     connection_endpoints make_endpoints(std::size_t request, int data_centre)
     {
+        request_kind const& kind = this->kinds[this->requests[request].kind];
+        std::size_t const clients =
+            kind.clients > 0 ? kind.clients : this->clients_per_data_centre;
         auto const caller_index = static_cast<std::uint32_t>(
-            request % this->clients_per_data_centre +
-            this->clients_per_data_centre *
-                static_cast<std::size_t>(data_centre));
+            request % clients + this->clients_per_data_centre *
+                                    static_cast<std::size_t>(data_centre));
         std::uint16_t& port = this->last_port[caller_index];
         port = port < 1024 ? 1024 : static_cast<std::uint16_t>(port + 1);
-        return {{caller_ip + caller_index, port},
-                this->kinds[this->requests[request].kind].route};
+        return {{caller_ip + caller_index, port}, kind.route};
     }
 
     void begin_attempt(std::size_t request, int data_centre)
@@ -1145,6 +1166,8 @@
             back_end_connection{static_cast<std::uint32_t>(this->random()),
                                 request});
         node.accepted_count += is_new;
+        if (is_new)
+            node.accepted_at.push_back(this->time);
         this->send_from_back_end(index,
                                  {.endpoints = packet.endpoints,
                                   .is_accepting = true,
@@ -1257,9 +1280,15 @@
                                  node.traits.slots,
                                  node.back_end.incarnation,
                                  {node.back_end.incarnation},
-                                 this->leaving.contains(index)
-                                     ? target_state::leaving
-                                     : target_state::serving}};
+                                 this->published_state(index)}};
+    }
+
+    target_state published_state(std::size_t index) const
+    {
+        if (this->leaving.contains(index))
+            return target_state::leaving;
+        return this->joining.contains(index) ? target_state::joining
+                                             : target_state::serving;
     }
 
     seeded_random random;
--- a/tests/stories/codec_story.cpp
+++ b/tests/stories/codec_story.cpp
@@ -113,6 +113,13 @@
         CHECK(bytes.size() <= max_datagram_size);
 }
 
+TEST(codec, decodes_replies_to_offers)
+{
+    offer_reply const reply{{7},     offer_verdict::busy, 2, 4,
+                            "bytes", UINT32_MAX};
+    SAME(datagram{reply}, this->decode(encode_packet(reply)));
+}
+
 // One key of another application made every update unreadable for peers, whose
 // configuration stayed at an old generation.
 TEST(codec, decodes_updates_with_target_keys_of_any_length)
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -44,6 +44,7 @@
     connection_entry_effects effects = {};
     std::uint64_t last_generation = 0;
     std::vector<service_part> other_services = {};
+    std::vector<warm_up_limit> warm_up_limits = {};
 
     static connection_entry_settings make_settings()
     {
@@ -81,7 +82,7 @@
             make_part("archive", next, {make_serving_target(archive_target)})};
         for (service_part const& part : this->other_services)
             change.parts.push_back(part);
-        change.routes = routes_part{next, routes, 15s};
+        change.routes = routes_part{next, routes, 15s, 0, this->warm_up_limits};
         std::uint64_t sum = compute_digest(fleet_part{}).value;
         for (service_part const& part : change.parts)
             sum += compute_digest(part).value;
@@ -659,6 +660,66 @@
     UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
 }
 
+namespace {
+
+// ---- cold back ends -----------------------------------------------------
+
+// The first target is cold; its service has a limit for that time.
+struct an_entry_with_a_cold_target : a_connection_entry
+{
+    void setup() override
+    {
+        this->warm_up_limits = {{make_service_id("members"), 8s, 12}};
+        this->publish_with(target_state::joining);
+    }
+
+    void publish_with(target_state state)
+    {
+        target_record record = make_serving_target(first);
+        record.state = state;
+        this->publish({make_route(members_route, "members"),
+                       make_route(archive_route, "archive")},
+                      {record, make_serving_target(second)});
+    }
+
+    // Opens connections until one was offered to the target.
+    send_offer find_offer_to(peer_address target, peer_address route)
+    {
+        for (std::uint16_t port = 1; port < 100; ++port) {
+            this->open(port, route);
+            if (this->get_last_offer().to == target)
+                return this->get_last_offer();
+        }
+        FAIL("no offer to the target");
+        return {};
+    }
+};
+
+}  // namespace
+
+SECTION(an_entry_and_a_cold_target, an_entry_with_a_cold_target){};
+
+TEST(an_entry_and_a_cold_target, tells_it_the_limit_of_its_service)
+{
+    send_offer const offer = this->find_offer_to(first, members_route);
+    UNSIGNED_LONGS_EQUAL(12, offer.offer.attributes->opens_per_second);
+}
+
+TEST(an_entry_and_a_cold_target, sets_no_limit_for_warm_targets)
+{
+    send_offer const offer = this->find_offer_to(second, members_route);
+    UNSIGNED_LONGS_EQUAL(0, offer.offer.attributes->opens_per_second);
+    send_offer const other = this->find_offer_to(archive_target, archive_route);
+    UNSIGNED_LONGS_EQUAL(0, other.offer.attributes->opens_per_second);
+}
+
+TEST(an_entry_and_a_cold_target, ends_the_limit_once_the_target_is_warm)
+{
+    this->publish_with(target_state::serving);
+    send_offer const offer = this->find_offer_to(first, members_route);
+    UNSIGNED_LONGS_EQUAL(0, offer.offer.attributes->opens_per_second);
+}
+
 SECTION(an_address_without_a_route, an_entry_with_a_configuration){};
 
 TEST(an_address_without_a_route, is_answered_with_a_reset)
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -4,6 +4,7 @@
 #include "placement/refusal_history.hpp"
 #include "placement/search_table.hpp"
 #include "placement/target_directory.hpp"
+#include "placement/warm_up_rate.hpp"
 #include "story.hpp"
 
 #include <map>
@@ -519,6 +520,67 @@
     CHECK(this->find_queried_target() == second);
 }
 
+// Load pattern: callers keep connections open and pause between requests. By
+// the momentary load, one target got the connections of many pausing callers,
+// whose requests then came at once.
+TEST(placing_by_hints, queries_targets_with_few_pausing_connections_first)
+{
+    this->hints.record_load(first, 0, 2, this->now, 2);
+    this->hints.record_load(second, 1, 2, this->now, 1);
+    this->start(true);
+    CHECK(this->find_queried_target() == second);
+    CHECK(!this->find_query()->offer.is_last_resort);
+}
+
+// The expected load says nothing about a free slot: such a target is queried
+// and may accept.
+TEST(placing_by_hints, queries_a_target_with_many_pausing_connections_last)
+{
+    this->hints.record_load(first, 0, 2, this->now, 9);
+    CHECK(!this->hints.is_reported_busy(first, this->now));
+    for (peer_address const& one : {second, third, fourth, fifth})
+        this->hints.record_load(one, 2, 2, this->now);
+    this->start(true);
+    CHECK(this->find_queried_target() == first);
+    CHECK(!this->find_query()->offer.is_last_resort);
+}
+
+TEST(placing_by_hints, ignores_an_expected_load_that_is_too_old)
+{
+    this->hints.record_load(first, 0, 2, this->now, 2);
+    CHECK(this->hints.is_expected_busy(first,
+                                       this->now + expected_load_lifetime));
+    CHECK(!this->hints.is_expected_busy(
+        first, this->now + expected_load_lifetime + 1ms));
+}
+
+// Among targets without a free slot, the one whose open connections need fewer
+// slots is free again first.
+TEST(placing_by_hints, compares_busy_targets_by_the_larger_load)
+{
+    this->hints.record_load(first, 2, 2, this->now, 8);
+    for (peer_address const& one : {second, third, fourth, fifth})
+        this->hints.record_load(one, one == third ? 3 : 4, 2, this->now);
+    this->start(true);
+    CHECK(this->find_queried_target() == third);
+    CHECK(this->find_query()->offer.is_last_resort);
+}
+
+// Load pattern: at peak load, a target with many pausing connections gets the
+// queued ones, too, because its momentary load is the lowest.
+TEST(placing_by_hints, compares_busy_replies_by_the_larger_load)
+{
+    this->start(true);
+    for (std::uint32_t expected_load : {9U, 3U, 5U, 7U}) {
+        this->outcomes = this->placements.on_answer(
+            {this->find_query()->offer.query, offer_verdict::busy,
+             expected_load == 9 ? 2U : 3U, 2, "", expected_load},
+            this->hints, this->now);
+    }
+    CHECK(this->find_queried_target() == second);
+    CHECK(this->find_query()->offer.is_last_resort);
+}
+
 // At peak load every target has reported that it is full, and one query
 // suffices.
 TEST(placing_by_hints, queries_only_the_least_loaded_when_all_are_busy)
@@ -872,6 +934,28 @@
     CHECK(failed != nullptr && failed->progress.has_silent_target);
 }
 
+namespace {
+
+// ---- limits of cold back ends -------------------------------------------
+
+struct two_warm_up_limits : Utest
+{
+    std::vector<warm_up_limit> limits = {{{3}, 8s, 12}, {{6}, 8s, 25}};
+};
+
+}  // namespace
+
+SECTION(warm_up_rates, two_warm_up_limits){};
+
+// A limit of another service would slow down back ends that need none.
+TEST(warm_up_rates, apply_to_their_own_service_only)
+{
+    UNSIGNED_LONGS_EQUAL(12, find_warm_up_rate(this->limits, {3}));
+    UNSIGNED_LONGS_EQUAL(25, find_warm_up_rate(this->limits, {6}));
+    for (std::uint64_t const other : {1U, 4U, 9U})
+        UNSIGNED_LONGS_EQUAL(0, find_warm_up_rate(this->limits, {other}));
+}
+
 // ---- limits of a search -------------------------------------------------
 
 SECTION(limiting_a_search, a_placer){};
