Ask the other targets when a retransmission is refused

Cause: a retransmitted opening packet goes first to the target that accepted the first packet, as a last resort. If that target has dropped the request since and its queue is long, it refuses, and the entry reset the caller although other targets had free slots.

Change: a refusal of that first candidate ends the placement only if no other target is left to ask. A refusal of the least loaded target still ends it at once.

Tested: is_refused_only_after_the_other_targets_were_asked fails without the change; is_reset_after_the_refusal_of_the_least_loaded_target fails when a refusal leads to holding the packet.

--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -434,7 +434,13 @@
         this->placements.erase(record.request.packet.endpoints);
         return found_outcome;
     }
-    if (answer.verdict == offer_verdict::refused) {
+    // A retransmission goes first to the target that accepted the first packet,
+    // whatever its load. If it has dropped the request since, the others may
+    // still serve it.
+    bool const has_other_candidates =
+        record.request.is_retransmission && record.current == 0 &&
+        this->has_candidate(record, candidate_state::not_queried);
+    if (answer.verdict == offer_verdict::refused && !has_other_candidates) {
         placement_outcome const failed = this->make_failed(record, true);
         this->placements.erase(record.request.packet.endpoints);
         return failed;
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -660,6 +660,53 @@
     UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
 }
 
+// Load pattern: every target has a queue that takes longer than the deadline.
+// The least loaded target refuses; held any longer, the caller would wait for
+// nothing.
+TEST(a_request_that_cannot_be_served,
+     is_reset_after_the_refusal_of_the_least_loaded_target)
+{
+    this->open(1);
+    send_offer const busier = this->get_last_offer();
+    this->answer(busier, offer_verdict::busy, 90);
+    send_offer const less_busy = this->get_last_offer();
+    CHECK(less_busy.to != busier.to);
+    this->answer(less_busy, offer_verdict::busy, 80);
+    send_offer const last_resort = this->get_last_offer();
+    CHECK(last_resort.to == less_busy.to);
+    CHECK(last_resort.offer.is_last_resort);
+    this->answer(last_resort, offer_verdict::refused, 80);
+    UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
+    CHECK(this->find_all<send_offer>().empty());
+    for (int i = 0; i < 30; ++i) {
+        this->feed(clock_tick{}, 20ms);
+        CHECK(this->find_all<send_offer>().empty());
+        CHECK(this->find_all<reset_caller>().empty());
+    }
+}
+
+// Load pattern: a target drops a request from its queue, and the packet that
+// says so is lost. The caller's retransmission goes to that target first, and
+// its refusal says nothing about the targets with free slots.
+TEST(a_request_that_cannot_be_served,
+     is_refused_only_after_the_other_targets_were_asked)
+{
+    this->open(1);
+    send_offer const placed = this->get_last_offer();
+    this->answer(placed, offer_verdict::waiting, 5);
+    this->now += 200ms;
+    connection_packet copy = make_packet(members_route, 1, true);
+    copy.retransmission_count = 1;
+    this->feed(packet_from_caller{copy});
+    send_offer const again = this->get_last_offer();
+    CHECK(again.to == placed.to);
+    this->answer(again, offer_verdict::refused, 9);
+    CHECK(this->find_all<reset_caller>().empty());
+    CHECK(this->get_last_offer().to != placed.to);
+    this->answer(this->get_last_offer(), offer_verdict::taken);
+    CHECK(this->has_note(placement_result::placed));
+}
+
 namespace {
 
 // ---- cold back ends -----------------------------------------------------
