Share a target's slots between callers

Cause: in order of the latest starts, one address that opens hundreds of connections per second delays all others: 82% of their requests were in time.

Change: caller_share_queue orders the waiting requests of one caller as if their latest starts were later by turns. Callers with one waiting request keep the earlier order, and priorities stay as they were.

Tested: all 434 stories pass; three stories of queue_fairness_story fail with objective_queue in its place.

--- a/src/admission/objective_queue.hpp
+++ b/src/admission/objective_queue.hpp
@@ -1,5 +1,6 @@
 // Queue for requests with a latency objective: requests that can still meet
-// their objective run first, late ones only when no others wait.
+// their objective run first, late ones only when no others wait. Baseline of
+// fair_objective_queue.
 //
 // Index
 //   objective_queue   the queue policy
--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -11,7 +11,7 @@
 
 #include "admission/admission.hpp"
 #include "admission/expected_load.hpp"
-#include "admission/objective_queue.hpp"
+#include "admission/fair_objective_queue.hpp"
 #include "admission/open_rate_limit.hpp"
 #include "membership/adoption.hpp"
 #include "tracking/back_end_health.hpp"
@@ -166,7 +166,7 @@
     auto operator<=>(connection_target_settings const&) const = default;
 };
 
-template <queue_policy Q = objective_queue,
+template <queue_policy Q = caller_share_queue,
           running_time_predictor T = median_path_time_predictor>
 class connection_target
 {
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -95,7 +95,7 @@
 
 // ---- fake_connections ---------------------------------------------------
 
-template <placement_policy P = free_first, queue_policy Q = objective_queue>
+template <placement_policy P = free_first, queue_policy Q = caller_share_queue>
 class fake_connections
 {
 public:
