--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -61,7 +61,7 @@
             {candidate,
              is_busy || candidate.is_unsure ? candidate_state::busy
                                             : candidate_state::not_queried,
-             is_busy ? hints.load(candidate.address) : 0});
+             is_busy ? hints.load_to_compare(candidate.address) : 0});
     }
     if (record.candidates.empty())
         return {this->make_failed(record, false)};
@@ -280,6 +280,7 @@
     if (request.packet.is_opening) {
         attributes = request.attributes;
         attributes->age = now - request.requested_at;
+        attributes->opens_per_second = candidate.target.opens_per_second;
     }
     return query_target{candidate.target.address,
                         {record.query, candidate.target.service,
@@ -332,7 +333,7 @@
     bool const is_placed =
         is_opening && detail::is_owner_verdict(answer.verdict);
     hints.record_load(target, answer.load, answer.slots, now,
-                      is_placed ? 1U : 0U);
+                      answer.expected_load, is_placed ? 1U : 0U);
     bool const is_unusable = answer.verdict == offer_verdict::no_answer ||
                              answer.verdict == offer_verdict::leaving;
     if (is_unusable)
@@ -438,7 +439,13 @@
         this->placements.erase(record.request.packet.endpoints);
         return found_outcome;
     }
-    if (answer.verdict == offer_verdict::refused) {
+    // A retransmission goes first to the target that accepted the first packet,
+    // whatever its load. If it has dropped the request since, the others may
+    // still serve it.
+    bool const has_other_candidates =
+        record.request.is_retransmission && record.current == 0 &&
+        this->has_candidate(record, candidate_state::not_queried);
+    if (answer.verdict == offer_verdict::refused && !has_other_candidates) {
         placement_outcome const failed = this->make_failed(record, true);
         this->placements.erase(record.request.packet.endpoints);
         return failed;
@@ -449,7 +456,7 @@
                                         answer.verdict == offer_verdict::unsure;
     if (accepts_as_last_resort && !record.is_last_resort) {
         candidate.state = candidate_state::busy;
-        candidate.load = answer.load;
+        candidate.load = std::max(answer.load, answer.expected_load);
         record.busy_count += 1;
     }
     return this->query_next(record, now);
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -46,6 +46,7 @@
     std::uint64_t last_generation = 0;
     std::vector<service_part> other_services = {};
     std::vector<std::string> evacuated = {};  // data centres
+    std::vector<warm_up_limit> warm_up_limits = {};
 
     static connection_entry_settings make_settings()
     {
@@ -83,7 +84,7 @@
             make_part("archive", next, {make_serving_target(archive_target)})};
         for (service_part const& part : this->other_services)
             change.parts.push_back(part);
-        change.routes = routes_part{next, routes, 15s};
+        change.routes = routes_part{next, routes, 15s, 0, this->warm_up_limits};
         std::uint64_t sum = compute_digest(fleet_part{}).value;
         for (service_part const& part : change.parts)
             sum += compute_digest(part).value;
@@ -666,6 +667,113 @@
     UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
 }
 
+// Load pattern: every target has a queue that takes longer than the deadline.
+// The least loaded target refuses; held any longer, the caller would wait for
+// nothing.
+TEST(a_request_that_cannot_be_served,
+     is_reset_after_the_refusal_of_the_least_loaded_target)
+{
+    this->open(1);
+    send_offer const busier = this->get_last_offer();
+    this->answer(busier, offer_verdict::busy, 90);
+    send_offer const less_busy = this->get_last_offer();
+    CHECK(less_busy.to != busier.to);
+    this->answer(less_busy, offer_verdict::busy, 80);
+    send_offer const last_resort = this->get_last_offer();
+    CHECK(last_resort.to == less_busy.to);
+    CHECK(last_resort.offer.is_last_resort);
+    this->answer(last_resort, offer_verdict::refused, 80);
+    UNSIGNED_LONGS_EQUAL(1, this->find_all<reset_caller>().size());
+    CHECK(this->find_all<send_offer>().empty());
+    for (int i = 0; i < 30; ++i) {
+        this->feed(clock_tick{}, 20ms);
+        CHECK(this->find_all<send_offer>().empty());
+        CHECK(this->find_all<reset_caller>().empty());
+    }
+}
+
+// Load pattern: a target drops a request from its queue, and the packet that
+// says so is lost. The caller's retransmission goes to that target first, and
+// its refusal says nothing about the targets with free slots.
+TEST(a_request_that_cannot_be_served,
+     is_refused_only_after_the_other_targets_were_asked)
+{
+    this->open(1);
+    send_offer const placed = this->get_last_offer();
+    this->answer(placed, offer_verdict::waiting, 5);
+    this->now += 200ms;
+    connection_packet copy = make_packet(members_route, 1, true);
+    copy.retransmission_count = 1;
+    this->feed(packet_from_caller{copy});
+    send_offer const again = this->get_last_offer();
+    CHECK(again.to == placed.to);
+    this->answer(again, offer_verdict::refused, 9);
+    CHECK(this->find_all<reset_caller>().empty());
+    CHECK(this->get_last_offer().to != placed.to);
+    this->answer(this->get_last_offer(), offer_verdict::taken);
+    CHECK(this->has_note(placement_result::placed));
+}
+
+namespace {
+
+// ---- cold back ends -----------------------------------------------------
+
+// The first target is cold; its service has a limit for that time.
+struct an_entry_with_a_cold_target : a_connection_entry
+{
+    void setup() override
+    {
+        this->warm_up_limits = {{make_service_id("members"), 8s, 12}};
+        this->publish_with(target_state::joining);
+    }
+
+    void publish_with(target_state state)
+    {
+        target_record record = make_serving_target(first);
+        record.state = state;
+        this->publish({make_route(members_route, "members"),
+                       make_route(archive_route, "archive")},
+                      {record, make_serving_target(second)});
+    }
+
+    // Opens connections until one was offered to the target.
+    send_offer find_offer_to(peer_address target, peer_address route)
+    {
+        for (std::uint16_t port = 1; port < 100; ++port) {
+            this->open(port, route);
+            if (this->get_last_offer().to == target)
+                return this->get_last_offer();
+        }
+        FAIL("no offer to the target");
+        return {};
+    }
+};
+
+}  // namespace
+
+SECTION(an_entry_and_a_cold_target, an_entry_with_a_cold_target){};
+
+TEST(an_entry_and_a_cold_target, tells_it_the_limit_of_its_service)
+{
+    send_offer const offer = this->find_offer_to(first, members_route);
+    UNSIGNED_LONGS_EQUAL(12, offer.offer.attributes->opens_per_second);
+}
+
+TEST(an_entry_and_a_cold_target, sets_no_limit_for_warm_targets)
+{
+    send_offer const offer = this->find_offer_to(second, members_route);
+    UNSIGNED_LONGS_EQUAL(0, offer.offer.attributes->opens_per_second);
+    send_offer const other = this->find_offer_to(archive_target, archive_route);
+    UNSIGNED_LONGS_EQUAL(0, other.offer.attributes->opens_per_second);
+}
+
+TEST(an_entry_and_a_cold_target, ends_the_limit_once_the_target_is_warm)
+{
+    this->publish_with(target_state::serving);
+    send_offer const offer = this->find_offer_to(first, members_route);
+    UNSIGNED_LONGS_EQUAL(0, offer.offer.attributes->opens_per_second);
+}
+
 SECTION(an_address_without_a_route, an_entry_with_a_configuration){};
 
 TEST(an_address_without_a_route, is_answered_with_a_reset)
