Return a response header that an HTTP call asks for

The store tells with a header that it reverted to an older copy, but a call only returned the status and Retry-After. A call now names one further header, a key's request names it for its platform, and the event loop returns its value through the library's look-up of custom headers. A reply can carry one, so that stand-ins can send it.

--- a/src/documents/reader.hpp
+++ b/src/documents/reader.hpp
@@ -29,6 +29,7 @@
 {
     std::string path = {};  // of the HTTP request
     duration timeout = {};
+    std::string header = {};  // name of a response header to return, if any
     auto operator<=>(fetch_key const&) const = default;
 };
 
@@ -36,6 +37,7 @@
 {
     std::uint32_t status = 0;  // HTTP status; 0: no complete response
     std::string text = {};
+    std::string header = {};  // value of the requested header
     auto operator<=>(key_response const&) const = default;
 };
 
--- a/src/loop/event_loop.hpp
+++ b/src/loop/event_loop.hpp
@@ -138,7 +138,7 @@
     {
         http_call call = {};
         lws* wsi = nullptr;
-        http_result result = {http_outcome::not_sent, 0, {}};
+        http_result result = {http_outcome::not_sent, 0, {}, {}};
         bool is_body_sent = false;
         bool has_empty_response = false;  // the header says so
         bool is_reading = false;          // in the library's read function
--- a/src/loop/event_loop.ipp
+++ b/src/loop/event_loop.ipp
@@ -36,6 +36,28 @@
     return text;
 }
 
+// Returns a header that the library has no token for. The library keeps such
+// names in lower case and with the colon.
+inline std::string read_custom_header(lws* wsi, std::string name)
+{
+    if (name.empty())
+        return {};
+    std::transform(name.begin(), name.end(), name.begin(), [](char letter) {
+        return letter >= 'A' && letter <= 'Z'
+                   ? static_cast<char>(letter - 'A' + 'a')
+                   : letter;
+    });
+    name += ':';
+    int const name_size = static_cast<int>(name.size());
+    int const length = lws_hdr_custom_length(wsi, name.c_str(), name_size);
+    if (length <= 0)
+        return {};
+    std::string text(static_cast<std::size_t>(length) + 1, '\0');
+    lws_hdr_custom_copy(wsi, text.data(), length + 1, name.c_str(), name_size);
+    text.resize(static_cast<std::size_t>(length));
+    return text;
+}
+
 // Returns the fields of a request's query in their order, joined by '&'.
 inline std::string read_query(lws* wsi)
 {
@@ -376,9 +398,10 @@
     std::string const wait =
         detail::read_header(wsi, WSI_TOKEN_HTTP_RETRY_AFTER);
     long const seconds = std::strtol(wait.c_str(), nullptr, 10);
-    exchange.result = {http_outcome::incomplete,
-                       lws_http_client_http_response(wsi),
-                       std::chrono::seconds{std::clamp(seconds, 0L, 3600L)}};
+    exchange.result = {
+        http_outcome::incomplete, lws_http_client_http_response(wsi),
+        std::chrono::seconds{std::clamp(seconds, 0L, 3600L)},
+        detail::read_custom_header(wsi, exchange.call.response_header)};
     exchange.has_empty_response =
         detail::read_header(wsi, WSI_TOKEN_HTTP_CONTENT_LENGTH) == "0" ||
         exchange.result.status == HTTP_STATUS_NO_CONTENT ||
@@ -536,6 +559,14 @@
             reinterpret_cast<unsigned char const*>(wait.c_str()),
             static_cast<int>(wait.size()), &at, end) != 0)
         return -1;
+    if (!reply.header.name.empty() &&
+        lws_add_http_header_by_name(
+            wsi,
+            reinterpret_cast<unsigned char const*>(
+                (reply.header.name + ":").c_str()),
+            reinterpret_cast<unsigned char const*>(reply.header.value.c_str()),
+            static_cast<int>(reply.header.value.size()), &at, end) != 0)
+        return -1;
     if (lws_finalize_write_http_header(wsi, start, &at, end) != 0)
         return -1;
     exchange.is_header_sent = true;
--- a/src/loop/http.hpp
+++ b/src/loop/http.hpp
@@ -1,6 +1,7 @@
 // Types of HTTP requests and replies, independent of the HTTP library.
 //
 // Index
+//   header   a header field
 //   client   a call to another process, and its result
 //   server   a request from another process, and the reply
 #pragma once
@@ -11,6 +12,15 @@
 
 namespace lagoon {
 
+// ---- header -------------------------------------------------------------
+
+struct http_header
+{
+    std::string name = {};
+    std::string value = {};
+    auto operator<=>(http_header const&) const = default;
+};
+
 // ---- client -------------------------------------------------------------
 
 struct exchange_id
@@ -26,6 +36,7 @@
     std::string path = {};       // with the query
     std::string body = {};
     duration timeout = {};  // from the call to the end of the response
+    std::string response_header = {};  // name of one to return; may be empty
     auto operator<=>(http_call const&) const = default;
 };
 
@@ -41,6 +52,7 @@
     http_outcome outcome = http_outcome::complete;
     std::uint32_t status = 0;   // HTTP status; 0 without a response
     duration retry_after = {};  // of the response's header, or 0
+    std::string header = {};    // value of the header that the call asked for
     auto operator<=>(http_result const&) const = default;
 };
 
@@ -62,6 +74,7 @@
     std::string content_type = "application/json";
     std::string body = {};
     std::uint32_t retry_after = 0;  // seconds; 0 leaves the header out
+    http_header header = {};        // a further one; left out without a name
     auto operator<=>(http_reply const&) const = default;
 };
 
--- a/src/programs/platform_client.hpp
+++ b/src/programs/platform_client.hpp
@@ -56,8 +56,8 @@
         this->calls.erase(exchange);
         std::uint32_t const status =
             result.outcome == http_outcome::complete ? result.status : 0;
-        return this->run_steps(
-            this->reader.handle_response(call.path, {status, call.body}));
+        return this->run_steps(this->reader.handle_response(
+            call.path, {status, call.body, result.header}));
     }
 
 private:
@@ -87,8 +87,12 @@
 
     void send_request(fetch_key const& request)
     {
-        exchange_id const id = this->loop.start_call(
-            {this->platform, "GET", request.path, {}, request.timeout});
+        exchange_id const id = this->loop.start_call({this->platform,
+                                                      "GET",
+                                                      request.path,
+                                                      {},
+                                                      request.timeout,
+                                                      request.header});
         this->calls[id] = {request.path, {}};
     }
 
--- a/tests/stories/loop_story.cpp
+++ b/tests/stories/loop_story.cpp
@@ -53,7 +53,7 @@
             return;
         this->is_calling = true;
         --this->remaining_calls;
-        this->loop.start_call({own_address(), "GET", "/", {}, 500ms});
+        this->loop.start_call({own_address(), "GET", "/", {}, 500ms, "X-Mark"});
     }
 
     void on_http_request(exchange_id exchange, http_request const&)
@@ -64,6 +64,7 @@
     void on_http_complete(exchange_id, http_result const& result)
     {
         this->is_calling = false;
+        this->returned_header = result.header;
         this->complete_calls += result.outcome == http_outcome::complete &&
                                 result.status == this->response.status;
         if (this->remaining_calls == 0)
@@ -83,6 +84,7 @@
     }
 
     std::size_t complete_calls = 0;
+    std::string returned_header = {};
     std::size_t open_descriptor_count = 0;  // after the last call
 
 private:
@@ -268,3 +270,31 @@
     CHECK_TRUE(is_answered(crowded_handler::probed_address(),
                            "GET / HTTP/1.1\r\nHost: a\r\n\r\n"));
 }
+
+// ---- response headers ---------------------------------------------------
+
+SECTION(event_loop_with_a_header, with_calls_to_itself){};
+
+// The store tells with a header that it reverted to an older copy.
+TEST(event_loop_with_a_header, returns_the_header_that_a_call_asks_for)
+{
+    self_calling_handler caller{{200, "text/plain", "x", 0, {"X-Mark", "17"}},
+                                1};
+    caller.run();
+    STRCMP_EQUAL("17", caller.returned_header.c_str());
+}
+
+TEST(event_loop_with_a_header, returns_it_from_a_response_without_a_body)
+{
+    self_calling_handler caller{{410, "text/plain", "", 0, {"x-mark", "4"}}, 1};
+    caller.run();
+    STRCMP_EQUAL("4", caller.returned_header.c_str());
+}
+
+TEST(event_loop_with_a_header, returns_nothing_if_there_is_no_such_header)
+{
+    self_calling_handler caller{{200, "text/plain", "x", 0, {"X-Other", "17"}},
+                                1};
+    caller.run();
+    STRCMP_EQUAL("", caller.returned_header.c_str());
+}
