Keep routes of a later version across reverts of the store

A store that reverts to an older copy holds an earlier configuration and assigns revisions again. A catalog took whatever had the higher generation.

A full change whose routes have a lower version than the catalog's leaves the routes and replaces the rest; any other such change is a conflict, which fetches the full catalog. Of two contents with one generation, the later routes win before the digest, and peers compare them in both directions, so that processes that kept their routes and processes that started later agree. Reads carry the routes in force, so that a reader never computes changes towards earlier ones.

After a later era was seen, the catalog counts as unconfirmed until one of that era was adopted, for at most the catch-up timeout. Repeated full fetches are at least 100 ms apart.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -1,5 +1,7 @@
 #include "catalog/catalog.hpp"
 
+#include "catalog/route_versions.hpp"
+
 #include <algorithm>
 
 namespace lagoon {
@@ -410,7 +412,17 @@
                             reason::malformed,
                             {},
                             "generation does not increase"});
-    if (offered <= this->current.version)
+    bool const has_earlier_routes =
+        detail::has_earlier_routes(change, this->current.routes);
+    // Of two contents with one generation, the later routes win, so that
+    // processes that kept theirs and processes that did not agree.
+    bool const is_replaced =
+        offered.number == this->current.version.number &&
+        detail::has_later_routes(change, this->current.routes);
+    bool const is_later =
+        offered > this->current.version &&
+        (offered.number != this->current.version.number || !has_earlier_routes);
+    if (!is_later && !is_replaced)
         return fail(error, {step::adopt_generation,
                             reason::stale,
                             {},
@@ -428,7 +440,15 @@
                             reason::conflict,
                             {},
                             "digest mismatch after applying the change"});
-    this->apply(change);
+    if (has_earlier_routes && change.base != generation{})
+        return fail(error, {step::adopt_generation,
+                            reason::conflict,
+                            {},
+                            "routes of the change are earlier than the current "
+                            "ones; the full catalog is needed"});
+    this->apply(has_earlier_routes
+                    ? detail::keep_routes(change, this->current.routes)
+                    : change);
     return this->current.version;
 }
 
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -192,6 +192,9 @@
 {
 public:
     // Applies a change that leads to a later version, and returns that version.
+    // Routes of a lower version than the current one are left out: a full change
+    // replaces all else, any other change is a conflict. Of two contents with
+    // one generation, the later version of the routes wins, then the digest.
     // Errors, which leave the catalog unchanged: stale (not later), conflict
     // (the change starts after the current generation or doesn't produce its
     // digest; the full catalog is needed), malformed.
--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -80,7 +80,25 @@
 
 void published_catalog::reset()
 {
-    *this = published_catalog{};
+    this->revision = {};
+    this->targets.clear();
+    this->parts.clear();
+    this->evacuations = {};
+}
+
+// Only the store names all services. The routes name those that must not be
+// ignored until the store holds this version.
+void published_catalog::keep_routes(routes_part const& in_force)
+{
+    if (in_force.version <= this->routes_version)
+        return;
+    this->routes_version = in_force.version;
+    this->routes = in_force;
+    if (this->services.empty())
+        return;
+    for (route_record const& route : in_force.routes)
+        for (weighted_service const& share : route.services)
+            this->services.insert(share.service);
 }
 
 // Other applications may publish targets of services that don't exist. Such a
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -102,9 +102,13 @@
     // don't exist.
     std::set<std::string> list_ignored_keys() const;
 
-    // Discards all state; the next update must be a snapshot.
+    // Discards all state except the routes, whose version never falls while
+    // the process runs; the next update must be a snapshot.
     void reset();
 
+    // Takes over routes in force, unless they are earlier than the known ones.
+    void keep_routes(routes_part const& in_force);
+
 private:
     bool is_ignored(published_target const& target) const;
     std::map<service_id, service_part>
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -609,6 +609,7 @@
                                       time_point now)
 {
     this->member.handle_failure(event.source, this->config, now);
+    this->member.handle_era(event.store_era, this->config, now);
     effects.push_back(report_failure{event.error});
     this->report_platform_change(effects, now);
 }
--- a/src/membership/adoption.hpp
+++ b/src/membership/adoption.hpp
@@ -51,6 +51,7 @@
 {
     change_source source = change_source::peer;
     failure error = {};
+    std::uint64_t store_era = 0;  // latest one seen; see store_position
     bool operator==(change_unavailable const&) const = default;
 };
 
--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -13,6 +13,7 @@
 
 #include "base/random.hpp"
 #include "catalog/catalog.hpp"
+#include "catalog/store_position.hpp"
 #include "membership/peers.hpp"
 #include "membership/readers.hpp"
 #include "protocol/messages.hpp"
@@ -109,6 +110,7 @@
     bool is_watch = false;         // wait for a later generation
     duration watch_duration = {};  // longest wait of a watch
     duration timeout = {};         // of each call, in addition to the wait
+    routes_part routes = {};       // in force; not replaced by earlier ones
     auto operator<=>(read_platform const&) const = default;
 };
 
@@ -157,6 +159,10 @@
     void handle_failure(change_source source, catalog const& current,
                         time_point now);
 
+    // Handles an era of the store, seen by a reader or at a peer. The catalog
+    // of an earlier one counts as unconfirmed until a later one is adopted.
+    void handle_era(std::uint64_t era, catalog const& current, time_point now);
+
     // Returns whether the platform answered the last read.
     bool is_platform_reachable() const;
 
@@ -196,6 +202,7 @@
                      time_point now);
     read_schedule current_schedule(catalog const& current);
     void begin_catch_up(time_point now);
+    bool is_era_unread(catalog const& current) const;
     void record_contact(platform_contact_report const& report,
                         catalog const& current);
     void accept_reported_contact(catalog const& current);
@@ -223,6 +230,7 @@
     catalog_version highest_seen_version = {};
     bool has_platform_answered = false;  // to the last read
     bool needs_full_read = false;        // after a conflict
+    std::optional<time_point> last_full_fetch_at = {};
     std::optional<catalog_version> schedule_version = {};
     std::size_t schedule_peer_count = 0;
     read_schedule cached_schedule = {};
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -3,6 +3,14 @@
 
 namespace lagoon {
 
+namespace detail {
+
+// While a peer has earlier routes, each of its changes is a conflict. The next
+// digest repeats the fetch that is left out.
+constexpr duration min_full_fetch_interval = std::chrono::milliseconds{100};
+
+}  // namespace detail
+
 template <random_source R>
 membership<R>::membership(membership_settings settings, R random,
                           time_point now)
@@ -28,6 +36,30 @@
     this->is_compared_with_platform = false;
 }
 
+// After a revert of the store, neither earlier contacts with it nor peers that
+// have not noticed it confirm the catalog.
+template <random_source R>
+void membership<R>::handle_era(std::uint64_t era, catalog const& current,
+                               time_point now)
+{
+    generation const known =
+        std::max(current.version().number, this->highest_seen_version.number);
+    bool const is_unconfigured = current.version() == catalog_version{};
+    if (is_unconfigured || era > max_era || era <= find_position(known).era)
+        return;
+    this->highest_seen_version = {{era << revision_bits}, {}};
+    this->platform_contact = now - initial_platform_age;
+    this->reported_contact.reset();
+    this->begin_catch_up(now);
+}
+
+template <random_source R>
+bool membership<R>::is_era_unread(catalog const& current) const
+{
+    return find_position(this->highest_seen_version.number).era >
+           find_position(current.version().number).era;
+}
+
 template <random_source R>
 duration membership<R>::platform_age(time_point now) const
 {
@@ -99,7 +131,10 @@
 void membership<R>::record_contact(platform_contact_report const& report,
                                    catalog const& current)
 {
-    if (report.version <= current.version())
+    bool const is_ahead = report.version > current.version();
+    if (!is_ahead && this->is_era_unread(current))
+        return;
+    if (!is_ahead)
         this->platform_contact = std::max(this->platform_contact, report.at);
     else if (!this->reported_contact || this->reported_contact->at < report.at)
         this->reported_contact = report;
@@ -127,22 +162,31 @@
     for (peer_address const& peer : digest.peers)
         if (peer != this->settings.exchange)
             this->peers.add_mentioned(peer, now);
+    this->handle_era(find_position(digest.version.number).era, current, now);
     this->record_contact({now - digest.platform_age, digest.version}, current);
     this->highest_seen_version =
         std::max(this->highest_seen_version, digest.version);
-    if (digest.version > current.version()) {
+    // Two contents with one generation are compared in both directions: the
+    // one with the smaller digest may have the later routes.
+    catalog_version const own = current.version();
+    bool const is_same_number = digest.version.number == own.number;
+    bool const is_ahead = digest.version > own;
+    // Changes since an earlier era don't lead to the contents of a later one.
+    bool const needs_whole = is_same_number || this->is_era_unread(current);
+    if (is_ahead || (is_same_number && digest.version != own)) {
         bool const may_fetch =
             !this->fetch_started_at ||
             now - *this->fetch_started_at > this->settings.timing.fetch_timeout;
         if (may_fetch) {
             this->fetch_started_at = now;
-            effects.push_back(fetch_from_peer{
-                from, digest.control_address, current.version().number,
-                this->settings.timing.fetch_timeout});
+            effects.push_back(
+                fetch_from_peer{from, digest.control_address,
+                                needs_whole ? generation{} : own.number,
+                                this->settings.timing.fetch_timeout});
         }
-    } else {
-        this->is_compared_with_peer = true;
     }
+    if (!is_ahead && !this->is_era_unread(current))
+        this->is_compared_with_peer = true;
     bool const is_peer_behind = digest.version < current.version();
     if (digest.is_reply_requested || is_peer_behind)
         effects.push_back(
@@ -225,6 +269,14 @@
                                              peer_address control,
                                              time_point now)
 {
+    bool const is_repeated =
+        this->last_full_fetch_at &&
+        now - *this->last_full_fetch_at < detail::min_full_fetch_interval;
+    if (is_repeated) {
+        this->fetch_started_at.reset();
+        return {};
+    }
+    this->last_full_fetch_at = now;
     this->fetch_started_at = now;
     return {fetch_from_peer{exchange, control, generation{},
                             this->settings.timing.fetch_timeout}};
@@ -326,7 +378,8 @@
     this->read_started_at = now;
     this->last_read_at = now;
     effects.push_back(read_platform{since, can_watch, this->current_watch,
-                                    this->settings.timing.read_timeout});
+                                    this->settings.timing.read_timeout,
+                                    current.routes()});
 }
 
 template <random_source R>
--- a/tests/stories/catalog_story.cpp
+++ b/tests/stories/catalog_story.cpp
@@ -183,3 +183,114 @@
     SAME(std::max(this->one.result_digest, this->other.result_digest),
          first.version().content);
 }
+
+// ---- routes of an earlier version ---------------------------------------
+
+namespace {
+
+// A store that reverted to an older copy holds an earlier configuration.
+struct a_catalog_with_routes : a_new_catalog
+{
+    static constexpr std::uint64_t old_version = 4;
+    static constexpr std::uint64_t own_version = 5;
+
+    service_part members = make_part("members", 5, {make_target("m1")});
+
+    static routes_part make_routes(std::uint64_t version)
+    {
+        routes_part routes{};
+        routes.routes.push_back(
+            {.address = {1, static_cast<std::uint16_t>(version)}});
+        routes.version = version;
+        return routes;
+    }
+
+    static catalog_change make_change(std::uint64_t number,
+                                      service_part const& part,
+                                      routes_part const& routes)
+    {
+        catalog_change change{{}, {number}};
+        change.parts = {part};
+        change.routes = routes;
+        change.result_digest = {compute_digest(part).value +
+                                compute_digest(routes).value};
+        return change;
+    }
+
+    void setup() override
+    {
+        this->current.adopt(
+            make_change(5, this->members, make_routes(own_version)),
+            this->error);
+    }
+};
+
+}  // namespace
+
+SECTION(catalog_with_routes, a_catalog_with_routes){};
+
+TEST(catalog_with_routes, keeps_them_and_takes_the_rest_of_a_full_change)
+{
+    service_part const next = make_part("members", 9, {make_target("m2")});
+    CHECK(
+        this->current
+            .adopt(make_change(9, next, make_routes(old_version)), this->error)
+            .has_value());
+    CHECK(this->current.routes().routes == make_routes(own_version).routes);
+    UNSIGNED_LONGS_EQUAL(own_version, this->current.routes().version);
+    CHECK(*this->current.find_service(next.id) == next);
+    CHECK(this->current.version().number == generation{9});
+    SAME(make_change(9, next, make_routes(own_version)).result_digest,
+         this->current.version().content);
+}
+
+// The older copy may be from before the first configuration.
+TEST(catalog_with_routes, keeps_them_if_a_full_change_has_none)
+{
+    catalog_change const change = make_change(9, this->members, routes_part{});
+    CHECK(this->current.adopt(change, this->error).has_value());
+    UNSIGNED_LONGS_EQUAL(own_version, this->current.routes().version);
+}
+
+TEST(catalog_with_routes, does_not_compare_unknown_versions)
+{
+    routes_part unversioned = make_routes(3);
+    unversioned.version = 0;
+    CHECK(this->current
+              .adopt(make_change(9, this->members, unversioned), this->error)
+              .has_value());
+    CHECK(this->current.routes().routes == unversioned.routes);
+}
+
+TEST(catalog_with_routes, needs_the_full_catalog_instead_of_an_earlier_delta)
+{
+    routes_part const earlier = make_routes(old_version);
+    catalog_change change{{5}, {9}};
+    change.routes = earlier;
+    change.result_digest = {compute_digest(this->members).value +
+                            compute_digest(earlier).value};
+    CHECK(!this->current.adopt(change, this->error));
+    CHECK(this->error.cause == reason::conflict);
+    UNSIGNED_LONGS_EQUAL(own_version, this->current.routes().version);
+}
+
+// One process kept its routes, the other one started after the revert.
+TEST(catalog_with_routes, agrees_with_one_that_has_earlier_routes)
+{
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        service_part const part =
+            make_part("members", 9, {make_target("m" + std::to_string(i))});
+        catalog_change const stored =
+            make_change(9, part, make_routes(old_version));
+        catalog kept = this->current;
+        catalog started;
+        kept.adopt(stored, this->error);
+        started.adopt(stored, this->error);
+        catalog const before = kept;
+        kept.adopt(started.changes_since({}), this->error);
+        SAME(before.version(), kept.version());
+        CHECK(started.adopt(kept.changes_since({}), this->error).has_value());
+        SAME(kept.version(), started.version());
+        UNSIGNED_LONGS_EQUAL(own_version, started.routes().version);
+    }
+}
--- a/tests/stories/membership_story.cpp
+++ b/tests/stories/membership_story.cpp
@@ -136,3 +136,120 @@
     this->run_for(30s);
     CHECK(this->longest_gap <= 250ms + tick_interval);
 }
+
+// ---- reverts of the store -----------------------------------------------
+
+namespace {
+
+struct a_ready_process : a_process
+{
+    void setup() override
+    {
+        this->a_process::setup();
+        this->start(1, 3s);
+        this->run_for(3s);
+    }
+
+    static generation make_number(std::uint64_t era, std::uint64_t revision)
+    {
+        failure error;
+        return *make_generation({era, revision}, error);
+    }
+
+    membership_effects hear_of(catalog_version version)
+    {
+        peer_digest message{};
+        message.sender = {101};
+        message.version = version;
+        return this->member->handle_digest(make_peer_address(1), message,
+                                           this->current, this->now);
+    }
+
+    bool is_ready() const
+    {
+        return this->member->is_ready(this->current, this->now);
+    }
+
+    static std::vector<generation>
+    list_fetches(membership_effects const& effects)
+    {
+        std::vector<generation> since;
+        for (membership_effect const& one : effects)
+            if (auto const* fetch = std::get_if<fetch_from_peer>(&one))
+                since.push_back(fetch->since);
+        return since;
+    }
+
+    void adopt(generation number)
+    {
+        catalog_change change = this->current.changes_since({});
+        change.to = number;
+        failure error;
+        CHECK(this->current.adopt(change, error).has_value());
+        this->member->handle_response(change_source::platform, &change,
+                                      this->current, this->now);
+    }
+};
+
+}  // namespace
+
+SECTION(a_process_whose_store_reverts, a_ready_process){};
+
+TEST(a_process_whose_store_reverts, is_unconfirmed_until_it_read_the_store)
+{
+    CHECK(this->is_ready());
+    this->hear_of({make_number(1, 1), {7}});
+    CHECK(!this->is_ready());
+    CHECK(this->member->platform_age(this->now) >= initial_platform_age);
+    this->adopt(make_number(1, 1));
+    CHECK(this->is_ready());
+    CHECK(this->member->platform_age(this->now) == duration{});
+}
+
+TEST(a_process_whose_store_reverts, is_unconfirmed_after_a_failed_read)
+{
+    this->member->handle_era(1, this->current, this->now);
+    CHECK(!this->is_ready());
+}
+
+// Such a peer hasn't noticed the revert.
+TEST(a_process_whose_store_reverts, is_not_confirmed_by_an_earlier_era)
+{
+    this->hear_of({make_number(1, 1), {7}});
+    this->hear_from(2);
+    CHECK(!this->is_ready());
+    CHECK(this->member->platform_age(this->now) >= initial_platform_age);
+}
+
+// A store whose reads keep failing must not withdraw readiness for good.
+TEST(a_process_whose_store_reverts, is_ready_again_after_a_limited_time)
+{
+    for (int i = 0; i < 30; ++i) {
+        this->member->handle_era(1, this->current, this->now);
+        this->now += tick_interval;
+        this->member->tick(this->current, this->now);
+    }
+    CHECK(this->is_ready());
+}
+
+// A peer with other contents of the same generation may have later routes,
+// whichever digest is larger.
+TEST(a_process_whose_store_reverts, asks_for_other_contents_of_one_generation)
+{
+    catalog_version const own = this->current.version();
+    CHECK(list_fetches(this->hear_of({own.number, {own.content.value - 1}})) ==
+          std::vector<generation>{generation{}});
+    this->member->handle_failure(change_source::peer, this->current, this->now);
+    CHECK(list_fetches(this->hear_of(own)).empty());
+}
+
+// While a peer has earlier routes, each of its changes is a conflict.
+TEST(a_process_whose_store_reverts, limits_the_rate_of_full_fetches)
+{
+    std::size_t fetches = 0;
+    time_point const end = this->now + 1s;
+    for (; this->now < end; this->now += 1ms)
+        fetches +=
+            list_fetches(this->member->fetch_full({}, {}, this->now)).size();
+    CHECK(fetches > 0 && fetches <= 10);
+}
