Test a fleet whose store reverts

The store loses a release of a target, a removal and versions of the configuration. The stories check that no entry goes back to an earlier configuration, that what is written again with lower revisions is in force, that all entries agree, also with a restarted one and without the store, and that the fleet serves meanwhile with few calls to the store.

--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -12,6 +12,7 @@
 #pragma once
 
 #include "catalog/published.hpp"
+#include "catalog/store_position.hpp"
 #include "entry/connection_entry.hpp"
 #include "target/connection_target.hpp"
 
@@ -260,11 +261,12 @@
     // Stores the present targets and routes for reads of the platform.
     void publish()
     {
-        published_update update{{++this->revision}, true, {}, {}};
+        ++this->revision;
+        published_update update{this->current_generation(), true, {}, {}};
         for (std::size_t i = 0; i < this->targets.size(); ++i)
             if (!this->unlisted.contains(i))
                 update.keys.push_back(this->make_target_key(i));
-        published_routes routes{this->revision, {}, 15s};
+        published_routes routes{++this->config_version, {}, 15s};
         for (request_kind const& kind : this->kinds)
             routes.routes.push_back({kind.route,
                                      {{make_service_id(kind.service), 1}},
@@ -273,10 +275,43 @@
                                      kind.priority,
                                      kind.is_idempotent});
         update.routes = routes;
+        this->stored_update = update;
         published_catalog listing;
         this->stored_change = *listing.apply(update, {});
     }
 
+    struct store_copy
+    {
+        std::uint64_t revision = 0;
+        std::uint64_t config_version = 0;
+        published_update update = {};
+    };
+
+    store_copy copy_store() const
+    {
+        return {this->revision, this->config_version, this->stored_update};
+    }
+
+    // Goes back to an older copy: later writes are lost, and their revisions
+    // and versions of the configuration are assigned again.
+    void revert_store(store_copy const& copy)
+    {
+        ++this->era;
+        this->revision = copy.revision;
+        this->config_version = copy.config_version;
+        this->stored_update = copy.update;
+        this->stored_update.revision = this->current_generation();
+        published_catalog listing;
+        this->stored_change = *listing.apply(this->stored_update, {});
+    }
+
+    generation current_generation() const
+    {
+        failure error;
+        return make_generation({this->era, this->revision}, error)
+            .value_or(generation{});
+    }
+
     // -- load
 
     // Sends requests of a kind for `span` from now on, at random intervals with
@@ -1266,7 +1301,9 @@
     time_point time = start_time;
     std::uint64_t last_order = 0;
     std::uint64_t last_incarnation = 0;
+    std::uint64_t era = 0;  // of the store
     std::uint64_t revision = 0;
+    std::uint64_t config_version = 0;
     time_point sessions_until = {};
     std::priority_queue<queued_event> events = {};
     std::vector<request_kind> kinds = {};
@@ -1276,6 +1313,7 @@
     std::map<connection_endpoints, std::size_t> attempt_by_endpoints = {};
     std::map<std::uint32_t, std::uint16_t> last_port = {};  // by caller address
     std::vector<connection_packet> packets = {};
+    published_update stored_update = {};
     catalog_change stored_change = {};
 };
 
--- a/tests/stories/connection_fleet_story.cpp
+++ b/tests/stories/connection_fleet_story.cpp
@@ -388,3 +388,150 @@
     this->fleet.run_for(20s);
     CHECK(this->earned_between(8s, 10s) > 0.97);
 }
+
+// ---- reverts of the store -----------------------------------------------
+
+namespace {
+
+// The store loses a release of target 2, the removal of target 5 and several
+// versions of the configuration.
+struct a_fleet_whose_store_reverts : connection_fleet_fixture
+{
+    static constexpr std::size_t entry_count = 5;
+    static constexpr std::size_t released = 2;
+    static constexpr std::size_t removed = 5;
+
+    std::vector<std::uint64_t> versions = {};  // in force, by entry
+    fake_connections<>::store_copy copy = {};
+
+    void setup() override
+    {
+        this->connection_fleet_fixture::setup();
+        this->copy = this->fleet.copy_store();
+        this->fleet.leaving = {released};
+        for (int i = 0; i < 4; ++i)
+            this->fleet.publish();
+        this->fleet.unlisted = {removed};
+        this->fleet.publish();
+        this->versions.assign(entry_count, 0);
+        this->run_checked(500ms);
+    }
+
+    catalog const& configuration(std::size_t entry)
+    {
+        return this->fleet.entry_core(entry).configuration();
+    }
+
+    // Runs and checks that no entry goes back to an earlier configuration.
+    void run_checked(duration span)
+    {
+        for (time_point const end = this->fleet.now() + span;
+             this->fleet.now() < end;) {
+            this->fleet.run_for(10ms);
+            for (std::size_t i = 0; i < entry_count; ++i) {
+                std::uint64_t const version =
+                    this->configuration(i).routes().version;
+                CHECK(version >= this->versions[i]);
+                this->versions[i] = version;
+            }
+        }
+    }
+
+    bool lists(std::size_t entry, std::size_t target)
+    {
+        service_part const* part =
+            this->configuration(entry).find_service(make_service_id("members"));
+        peer_address const address = this->fleet.target_address(target);
+        return std::any_of(part->targets.begin(), part->targets.end(),
+                           [&address](target_record const& one) {
+                               return one.address == address;
+                           });
+    }
+
+    // The contents, not when they were read: see compute_digest.
+    void check_agreement()
+    {
+        for (std::size_t i = 1; i < entry_count; ++i)
+            SAME(this->configuration(0).version(),
+                 this->configuration(i).version());
+    }
+};
+
+}  // namespace
+
+SECTION(connection_fleet_whose_store_reverts, a_fleet_whose_store_reverts){};
+
+TEST(connection_fleet_whose_store_reverts, acts_on_what_is_written_again)
+{
+    std::uint64_t const version = this->configuration(0).routes().version;
+    this->fleet.revert_store(this->copy);
+    this->run_checked(1s);
+    for (std::size_t i = 0; i < entry_count; ++i)
+        CHECK(this->lists(i, removed));
+    this->fleet.publish();
+    this->run_checked(1s);
+    for (std::size_t i = 0; i < entry_count; ++i) {
+        CHECK(!this->lists(i, removed));
+        UNSIGNED_LONGS_EQUAL(version, this->configuration(i).routes().version);
+    }
+    this->check_agreement();
+    std::size_t const before = this->fleet.count_accepted(released);
+    time_point const load_start = this->begin_load(0.6, 2s);
+    this->run_checked(3s);
+    UNSIGNED_LONGS_EQUAL(before, this->fleet.count_accepted(released));
+    CHECK(this->fleet.earned_share(load_start, load_start + 2s) > 0.9);
+    this->check_guarantees();
+}
+
+TEST(connection_fleet_whose_store_reverts, serves_in_time_meanwhile)
+{
+    time_point const load_start = this->begin_load(0.6, 4s);
+    this->run_checked(1s);
+    this->fleet.revert_store(this->copy);
+    this->run_checked(1s);
+    this->fleet.publish();
+    this->run_checked(3s);
+    CHECK(this->fleet.earned_share(load_start, load_start + 4s) > 0.9);
+    this->check_guarantees();
+}
+
+TEST(connection_fleet_whose_store_reverts,
+     follows_the_operator_when_it_is_ahead)
+{
+    std::uint64_t const version = this->configuration(0).routes().version;
+    this->fleet.revert_store(this->copy);
+    this->run_checked(300ms);
+    while (this->configuration(0).routes().version <= version) {
+        CHECK(this->fleet.copy_store().config_version <= version + 1);
+        this->fleet.publish();
+        this->run_checked(500ms);
+    }
+    this->check_agreement();
+}
+
+// Restarted entries know only the earlier configuration of the older copy, or
+// what peers pass on.
+TEST(connection_fleet_whose_store_reverts, agrees_with_restarted_entries)
+{
+    std::uint64_t const version = this->configuration(0).routes().version;
+    this->fleet.kill_entry(4);
+    this->fleet.revert_store(this->copy);
+    this->fleet.start_entry(4);
+    this->versions[4] = 0;
+    this->run_checked(1s);
+    this->fleet.is_platform_up = false;
+    this->run_checked(3s);
+    UNSIGNED_LONGS_EQUAL(version, this->configuration(4).routes().version);
+    this->check_agreement();
+}
+
+TEST(connection_fleet_whose_store_reverts, makes_few_platform_calls)
+{
+    this->fleet.revert_store(this->copy);
+    this->fleet.kill_entry(4);
+    this->fleet.start_entry(4);
+    this->versions[4] = 0;
+    std::size_t const before = this->fleet.platform_calls;
+    this->run_checked(5s);
+    CHECK(this->fleet.platform_calls - before < 5 * 10);
+}
