Test that contents of one generation are not exchanged for ever

Two processes with one generation and other contents adopt from each other by the version of the routes first. Contents with earlier routes must stay ignored, whatever their digest.

--- a/tests/stories/catalog_story.cpp
+++ b/tests/stories/catalog_story.cpp
@@ -294,3 +294,19 @@
         UNSIGNED_LONGS_EQUAL(own_version, started.routes().version);
     }
 }
+
+// Otherwise two such processes could exchange their contents for ever.
+TEST(catalog_with_routes, ignores_other_contents_of_its_generation_with_earlier)
+{
+    this->current.adopt(make_change(9, this->members, make_routes(old_version)),
+                        this->error);
+    catalog_version const before = this->current.version();
+    for (std::uint64_t i = 1; i <= 8; ++i) {
+        service_part const part =
+            make_part("members", 9, {make_target("n" + std::to_string(i))});
+        CHECK(!this->current.adopt(
+            make_change(9, part, make_routes(old_version)), this->error));
+        CHECK(this->error.cause == reason::stale);
+    }
+    SAME(before, this->current.version());
+}
