--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -35,9 +35,9 @@
                                          R random, time_point now)
     : settings(settings), member(settings.membership, std::move(random), now),
       owners(settings.owners), connection_placer(settings.placement),
-      evacuations(settings.membership.self), locator(settings.locator),
       preference(settings.prefer_home_data_centre,
                  settings.membership.data_centre, settings.departure),
+      evacuations(settings.membership.self), locator(settings.locator),
       last_tick(now)
 {
 }
