Give up searches that fail while connections are lost in masses

Change: next_due() lies in the future; searches go through all candidates again, except while nearly all recent searches fail (search_yield), when four are asked and the locator does the rest; an expected load counts only beyond the momentary one.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -20,6 +20,7 @@
 #include "placement/placer.hpp"
 #include "placement/refusal_history.hpp"
 #include "placement/search_table.hpp"
+#include "placement/search_yield.hpp"
 #include "placement/target_directory.hpp"
 #include "placement/warm_up_rate.hpp"
 
@@ -324,6 +325,7 @@
     std::deque<held_packet> held = {};
     refusal_history refusals = {};
     search_table searches = {};
+    search_yield yield = {};
     evacuation_notifier evacuations;
     connection_locator locator;
     bool was_platform_reachable = false;
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -139,7 +139,7 @@
         // Its target has left the list; it may be gone.
         if (this->may_locate() && !this->directory.contains(owner->target))
             this->locate(effects, packet, now);
-    } else if (this->may_locate() && this->locator.is_pending(packet.endpoints))
+    } else if (!owner && this->may_locate() && this->yield.is_low(now))
         this->locate(effects, packet, now);
     else if (this->searches.is_blocked(packet.endpoints, now))
         effects.push_back(this->make_note(placement_result::owner_lost,
@@ -369,10 +369,14 @@
                                        packet.endpoints),
         make_flow_key(packet.endpoints), this->preference);
     detail::move_candidates(search.remaining, preferred, returned_by);
-    // The locator asks all targets about many connections at once.
-    if (this->may_locate() &&
-        search.remaining.size() > this->settings.placement.free_queries)
-        search.remaining.resize(this->settings.placement.free_queries);
+    // While nearly all searches fail, most of the queries are in vain and delay
+    // the packets of the connections that have an owner.
+    std::size_t const limit = this->settings.placement.first_batch_end;
+    bool const is_shortened = this->settings.reset_lost_connections &&
+                              search.remaining.size() > limit &&
+                              this->yield.is_low(now);
+    if (is_shortened)
+        search.remaining.resize(limit);
     if (search.remaining.empty())
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
@@ -414,6 +418,8 @@
                                 now);
     else
         this->search_candidates(effects, packet, *previous, now);
+    this->yield.record(false, now);
+    this->locate(effects, packet, now);
 }
 
 template <random_source R, placement_policy P>
@@ -526,10 +532,14 @@
         effects.push_back(
             status_change_note{status_change::table_full, {}, {}});
     this->is_owner_table_full = !has_room;
-    if (!is_opening)
+    if (!is_opening) {
+        // Targets that try their back ends have not found anything yet.
+        if (found.progress.trial_count == 0)
+            this->yield.record(true, now);
         this->searches.put(
             found.packet.endpoints,
             {search_state::found, found.remaining, found.progress, now});
+    }
     placement_note note = this->make_note(
         is_opening ? placement_result::placed : placement_result::owner_found,
         found.packet.endpoints, found.arrived_at, now);
@@ -558,6 +568,7 @@
                    {failed.arrived_at, failed.requested_at}, now);
         return;
     }
+    this->yield.record(false, now);
     placement_note note =
         this->make_note(placement_result::owner_lost, failed.packet.endpoints,
                         failed.arrived_at, now);
@@ -638,9 +649,6 @@
     bool const has_other_owner = owner && owner->target != event.from;
     if (!packet.is_opening && has_other_owner)
         this->forward(effects, *owner, packet, now);
-    else if (!packet.is_opening && this->may_locate() &&
-             this->locator.is_pending(packet.endpoints))
-        this->locate(effects, packet, now);
     else if (!packet.is_opening)
         this->resume_search(effects, packet, event.from, now);
     else if (now - times.arrived_at < this->settings.max_hold_time)
--- a/src/entry/lost_connections.ipp
+++ b/src/entry/lost_connections.ipp
@@ -84,6 +84,7 @@
                                           held.packet.endpoints, now, now);
     note.target = held.target.address;
     effects.push_back(note);
+    this->yield.record(true, now);
     this->forward(effects,
                   {.target = held.target.address,
                    .service = held.target.service,
@@ -110,6 +111,7 @@
                                             connection_lost const& lost,
                                             time_point now)
 {
+    this->yield.record(false, now);
     this->owners.erase(lost.packet.endpoints);
     effects.push_back(this->make_note(
         placement_result::lost, lost.packet.endpoints, lost.arrived_at, now));
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -128,8 +128,10 @@
                          list.targets.size() <= this->limits.max_targets;
     // Without a whole list, searches along the ranking find owners at less
     // cost.
-    if (!can_ask || !list.as_of || this->order.empty())
+    if (!can_ask || !list.as_of || this->order.empty()) {
+        this->next_round_at = now + this->limits.retry_interval;
         return;
+    }
     this->round = locate_round{++this->last_round, now};
     std::vector<located_connection> connections;
     while (!this->order.empty() &&
--- a/src/placement/connection_locator.hpp
+++ b/src/placement/connection_locator.hpp
@@ -96,6 +96,9 @@
     // other packets.
     duration time_per_target = std::chrono::milliseconds{4};
 
+    // Time until the next attempt to begin a round that can't begin yet.
+    duration retry_interval = std::chrono::milliseconds{100};
+
     // A round ends without the targets that have not answered by then.
     duration answer_timeout = std::chrono::milliseconds{300};
 
--- a/src/placement/target_hints.cpp
+++ b/src/placement/target_hints.cpp
@@ -38,8 +38,11 @@
         is_first
             ? found
             : before.mean_load + mean_load_weight * (found - before.mean_load);
+    // An expected load that connections in use explain is as short-lived as the
+    // momentary one.
+    std::uint32_t const lasting = expected_load > load ? expected_load : 0;
     this->hints.insert_or_assign(
-        target, target_hint{load, slots, expected_load, now, 0, {}, mean});
+        target, target_hint{load, slots, lasting, now, 0, {}, mean});
 }
 
 void target_hints::record_timeout(peer_address target, time_point now)
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -24,7 +24,7 @@
             .update_fan_out = 8,
             .fetch_timeout = std::chrono::milliseconds{400},
             .read_timeout = std::chrono::milliseconds{600},
-            .read_now_interval = std::chrono::milliseconds{300},
+            .read_now_interval = std::chrono::milliseconds{100},
             .pause_threshold = std::chrono::milliseconds{1000},
             .first_read_delay = duration{},
             .catch_up_timeout = std::chrono::milliseconds{1000},
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -1,6 +1,7 @@
 #include "fakes/fake_connections.hpp"
 #include "membership/list_confirmation.hpp"
 #include "placement/connection_locator.hpp"
+#include "placement/search_yield.hpp"
 #include "story.hpp"
 #include "tracking/table_completeness.hpp"
 
@@ -321,6 +322,14 @@
     UNSIGNED_LONGS_EQUAL(0, this->outcomes.size());
 }
 
+// Guards against a loop that is due again at once while it can do nothing.
+TEST(locator_without_a_proof, is_not_due_at_once_while_it_cannot_ask)
+{
+    this->list.as_of.reset();
+    this->advance();
+    CHECK(*this->locator.next_due() > this->now);
+}
+
 TEST(locator_without_a_proof, forgets_a_caller_that_is_silent)
 {
     this->list.as_of.reset();
@@ -367,6 +376,50 @@
 
 namespace {
 
+// ---- searches that fail -------------------------------------------------
+
+struct recent_searches : Utest
+{
+    search_yield yield = {};
+    time_point now{100s};
+
+    void record(int found, int failed)
+    {
+        for (int i = 0; i < found; ++i)
+            this->yield.record(true, this->now);
+        for (int i = 0; i < failed; ++i)
+            this->yield.record(false, this->now);
+    }
+};
+
+}  // namespace
+
+SECTION(yield_of_searches, recent_searches){};
+
+// Guards against shortened searches after an entry has left, when connections
+// arrive at entries that don't know their owners yet.
+TEST(yield_of_searches, is_not_low_while_owners_are_found)
+{
+    this->record(3, 9);
+    CHECK(!this->yield.is_low(this->now));
+}
+
+TEST(yield_of_searches, is_not_low_after_a_few_failures)
+{
+    this->record(0, 7);
+    CHECK(!this->yield.is_low(this->now));
+}
+
+TEST(yield_of_searches, is_low_while_nearly_all_fail)
+{
+    this->record(2, 8);
+    CHECK(this->yield.is_low(this->now));
+    this->now += 2s;
+    CHECK(!this->yield.is_low(this->now));
+}
+
+namespace {
+
 // ---- a fleet that has lost power ----------------------------------------
 
 peer_address const feed_route{0xC6120001, 445};
@@ -387,7 +440,7 @@
     void setup() override
     {
         this->fleet.entry_settings.reset_lost_connections = this->resets();
-        this->fleet.entry_settings.membership.timing.read_now_interval = 300ms;
+        this->fleet.entry_settings.membership.timing.read_now_interval = 100ms;
         this->fleet.clients_per_data_centre = 400;
         std::size_t const feed = this->fleet.add_kind(
             {feed_route, "atelier", 30ms, 250ms, 4s, 2, true, 1, 0.3});
@@ -397,8 +450,8 @@
             this->fleet.add_target("atelier", i % 3);
         this->fleet.publish();
         this->fleet.run_for(1s);
-        this->fleet.add_sessions(feed, 1200, 2s, 40s, 3);
-        this->fleet.run_for(5s);
+        this->fleet.add_sessions(feed, 1200, 5s, 60s, 3);
+        this->fleet.run_for(12s);
     }
 
     // The back ends are listed again a second after power has returned.
