Decide about lost connections without targets that were just removed

Change: targets that were removed a moment ago are asked, but a silent one is taken for gone, as the platform's pages say.

--- a/src/entry/lost_connections.ipp
+++ b/src/entry/lost_connections.ipp
@@ -32,8 +32,12 @@
     located_targets list;
     list.as_of = this->member.whole_list_as_of();
     for (auto const& [id, part] : this->directory.services())
-        for (target_record const& target : part.targets)
-            list.targets.push_back({target.address, id, target.started_at_ms});
+        for (target_record const& target : part.targets) {
+            bool const is_listed =
+                this->config.find_state(id, target.id).has_value();
+            (is_listed ? list.targets : list.removed)
+                .push_back({target.address, id, target.started_at_ms});
+        }
     std::sort(list.targets.begin(), list.targets.end());
     return list;
 }
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -65,7 +65,7 @@
 std::optional<time_point> connection_locator::next_due() const
 {
     if (this->round)
-        return this->round->started_at + this->limits.answer_timeout;
+        return this->round->started_at + this->round_timeout();
     if (this->pending.empty())
         return std::nullopt;
     return this->next_round_at;
@@ -97,13 +97,21 @@
         return false;
     asked->second.verdicts = reply.verdicts;
     ++this->round->answer_count;
+    if (!asked->second.is_removed)
+        --this->round->missing_count;
     return this->round->answer_count == this->round->asked.size();
 }
 
 bool connection_locator::is_round_over(time_point now) const
 {
     return this->round->answer_count == this->round->asked.size() ||
-           now - this->round->started_at >= this->limits.answer_timeout;
+           now - this->round->started_at >= this->round_timeout();
+}
+
+duration connection_locator::round_timeout() const
+{
+    return this->round->missing_count == 0 ? this->limits.removed_answer_timeout
+                                           : this->limits.answer_timeout;
 }
 
 locator_outcomes connection_locator::advance(located_targets const& list,
@@ -142,13 +150,18 @@
         this->round->connections.push_back(one.packet.endpoints);
         this->order.pop_front();
     }
-    for (located_target const& target : list.targets) {
+    auto const ask = [&](located_target const& target, bool is_removed) {
         query_id const query{++this->last_query};
-        this->round->asked.emplace(query, asked_target{target});
+        this->round->asked.emplace(query, asked_target{target, is_removed});
         outcomes.push_back(send_locate_query{
             target.address,
             {query, target.service, target.started_at_ms, 0, connections}});
-    }
+    };
+    for (located_target const& target : list.targets)
+        ask(target, false);
+    for (located_target const& target : list.removed)
+        ask(target, true);
+    this->round->missing_count = list.targets.size();
     this->next_round_at =
         now + this->limits.time_per_target *
                   static_cast<std::int64_t>(list.targets.size());
@@ -158,16 +171,13 @@
 void connection_locator::end_round(locator_outcomes& outcomes,
                                    located_targets const& list)
 {
-    bool const has_all_answers =
-        this->round->answer_count == this->round->asked.size();
     std::vector<located_target> answering;
     for (auto const& [query, asked] : this->round->asked)
         if (!asked.verdicts.empty())
             answering.push_back(asked.target);
     std::sort(answering.begin(), answering.end());
     // A target that was asked and has left the list need not have answered.
-    bool const is_list_covered =
-        has_all_answers || contains_all(answering, list.targets);
+    bool const is_list_covered = contains_all(answering, list.targets);
     if (is_list_covered)
         this->answered.emplace(this->round->number, answering);
     if (this->answered.size() > max_answered_rounds)
--- a/src/placement/connection_locator.hpp
+++ b/src/placement/connection_locator.hpp
@@ -43,6 +43,10 @@
 {
     std::vector<located_target> targets = {};  // of all services; sorted
 
+    // Targets that were removed a moment ago. They are asked too, since they may
+    // be alive, but a silent one is gone: its key would be back by then.
+    std::vector<located_target> removed = {};
+
     // The list holds every living target as of this time. Empty while that is
     // not known: connections may be found, but none is known to be lost.
     std::optional<time_point> as_of = {};
@@ -101,6 +105,7 @@
 
     // A round ends without the targets that have not answered by then.
     duration answer_timeout = std::chrono::milliseconds{300};
+    duration removed_answer_timeout = std::chrono::milliseconds{40};
 
     // Callers retransmit at least every 1.6 s. A connection whose caller has
     // been silent for longer is dropped.
@@ -161,6 +166,7 @@
     struct asked_target
     {
         located_target target = {};
+        bool is_removed = false;
         std::vector<locate_verdict> verdicts = {};  // empty without an answer
         auto operator<=>(asked_target const&) const = default;
     };
@@ -172,10 +178,12 @@
         std::vector<connection_endpoints> connections = {};
         std::map<query_id, asked_target> asked = {};
         std::size_t answer_count = 0;
+        std::size_t missing_count = 0;  // listed targets without an answer
         auto operator<=>(locate_round const&) const = default;
     };
 
     bool is_round_over(time_point now) const;
+    duration round_timeout() const;
     void end_round(locator_outcomes& outcomes, located_targets const& list);
     void judge(locator_outcomes& outcomes,
                connection_endpoints const& endpoints, std::size_t position,
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -159,6 +159,7 @@
     located_targets list{{{{0x0A020001, 8000}, {1}, 5},
                           {{0x0A020002, 8000}, {1}, 5},
                           {{0x0A020003, 8000}, {2}, 5}},
+                         {},
                          this->start};
     locator_outcomes outcomes = {};
 
@@ -296,6 +297,28 @@
     CHECK(this->is_lost());
 }
 
+TEST(locator_without_a_proof, asks_targets_that_were_just_removed)
+{
+    this->list.removed = {{{0x0A020009, 8000}, {1}, 5}};
+    this->advance();
+    UNSIGNED_LONGS_EQUAL(4, this->find_all<send_locate_query>().size());
+    this->answer_all({locate_verdict::denied, locate_verdict::denied,
+                      locate_verdict::denied, locate_verdict::held});
+    CHECK(!this->is_lost());
+    UNSIGNED_LONGS_EQUAL(1, this->find_all<connection_held>().size());
+}
+
+// The platform would list it again if it were alive.
+TEST(locator_without_a_proof, takes_a_removed_target_that_is_silent_for_gone)
+{
+    this->list.removed = {{{0x0A020009, 8000}, {1}, 5}};
+    this->advance();
+    this->deny_all();
+    CHECK(!this->is_lost());
+    this->advance(40ms);
+    CHECK(this->is_lost());
+}
+
 TEST(locator_without_a_proof, has_unsure_targets_try_their_back_ends)
 {
     this->advance();
