--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -337,5 +337,7 @@
 
 }  // namespace lagoon
 
+#include "entry/configuration_events.ipp"
 #include "entry/connection_entry.ipp"
 #include "entry/lost_connections.ipp"
+#include "entry/owner_search.ipp"
