Let the connections fuzzer drop locate queries and their answers

Cause: its world has no handlers for the two new effects and did not compile. Change: both are dropped; it does not reset lost connections yet.

--- a/tests/fuzz/connection_world.hpp
+++ b/tests/fuzz/connection_world.hpp
@@ -427,6 +427,7 @@
     void perform_entry(std::size_t, placement_note const&) {}
     void perform_entry(std::size_t, status_change_note const&) {}
     void perform_entry(std::size_t, send_evacuation_notice const&) {}
+    void perform_entry(std::size_t, send_locate_query const&) {}
 
     // -- targets
 
@@ -475,6 +476,7 @@
     }
 
     void perform_target(std::size_t, tracking_note const&) {}
+    void perform_target(std::size_t, answer_locate_query const&) {}
 
     // -- back ends, which are on the VM of their target
 
