Pause the locator while many targets are unsure

Change: with more unsure targets than may try a packet, the connection is left to the searches, and the next round begins a second later.

--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -208,14 +208,19 @@
         if (verdict == locate_verdict::unsure)
             unsure.push_back(asked.target);
     }
+    if (unsure.size() > this->limits.max_trials) {
+        this->pending.erase(found);
+        this->next_round_at =
+            this->round->started_at + this->limits.unsure_pause;
+        return;
+    }
     this->order.push_back(endpoints);
     if (!is_list_covered)
         return;
     if (unsure.empty())
         found->second.denied_in = this->round->number;
-    else if (unsure.size() <= this->limits.max_trials)
-        for (located_target const& target : unsure)
-            outcomes.push_back(try_at_target{found->second.packet, target});
+    for (located_target const& target : unsure)
+        outcomes.push_back(try_at_target{found->second.packet, target});
 }
 
 // A denial stays valid: a connection that was open when its packet arrived and
--- a/src/placement/connection_locator.hpp
+++ b/src/placement/connection_locator.hpp
@@ -115,8 +115,11 @@
     std::size_t max_targets = 512;
     std::size_t max_connections = 4096;
 
-    // Unsure targets that may have to try one packet at their back ends.
+    // Unsure targets that may have to try one packet at their back ends. With
+    // more, as after a restart of all targets, no proof is to be had soon, and
+    // further rounds would only take time from the searches.
     std::size_t max_trials = 8;
+    duration unsure_pause = std::chrono::seconds{1};
 
     auto operator<=>(locator_limits const&) const = default;
 };
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -330,6 +330,22 @@
     SAME(this->list.targets[1], trials[0].target);
 }
 
+// Load pattern: all targets were restarted while their back ends run on, and
+// searches find the owners. Guards against rounds that can't prove anything.
+TEST(locator_without_a_proof, pauses_while_many_targets_are_unsure)
+{
+    for (std::uint32_t i = 4; i < 14; ++i)
+        this->list.targets.push_back({{0x0A020000 + i, 8000}, {2}, 5});
+    this->advance();
+    this->answer_all(std::vector<locate_verdict>(13, locate_verdict::unsure));
+    UNSIGNED_LONGS_EQUAL(0, this->locator.size());
+    this->add(port + 1);
+    this->advance(900ms);
+    UNSIGNED_LONGS_EQUAL(0, this->find_all<send_locate_query>().size());
+    this->advance(100ms);
+    UNSIGNED_LONGS_EQUAL(13, this->find_all<send_locate_query>().size());
+}
+
 TEST(locator_without_a_proof, drops_a_connection_that_is_opened_again)
 {
     this->advance();
