--- a/src/entry/owner_search.ipp
+++ b/src/entry/owner_search.ipp
@@ -25,7 +25,7 @@
                                        packet.endpoints),
         make_flow_key(packet.endpoints), this->preference);
     detail::move_candidates(search.remaining, preferred, returned_by);
-    // While nearly all searches fail, most of the queries are in vain and delay
+    // While nearly all searches fail, most of the queries find nothing and delay
     // the packets of the connections that have an owner.
     std::size_t const limit = this->settings.placement.first_batch_end;
     bool const is_shortened = this->settings.reset_lost_connections &&
