Ask two targets at home and two elsewhere before a connection is queued

Cause: with three of four queries at home, a connection whose home was briefly full was queued although others had free slots, and queued work in turn raised the share that leaves. The two stories under stress were red.

Change: the order is two of each side, then one of each in turn. The share that leaves falls by up to 0.5 per second; the slower 0.25 holds after home had no usable target, when its back ends may be cold. The check of the order asks for two of each among the first four, which is stricter than one or three.

All 562 stories pass.

--- a/src/placement/data_centre_choice.cpp
+++ b/src/placement/data_centre_choice.cpp
@@ -160,9 +160,13 @@
 void data_centre_choice::move_share(double required, duration elapsed)
 {
     double const rise = this->limits.rise_per_second * to_seconds(elapsed);
-    double const fall = this->limits.fall_per_second * to_seconds(elapsed);
+    double const fall = (this->is_returning ? this->limits.return_per_second
+                                            : this->limits.fall_per_second) *
+                        to_seconds(elapsed);
     this->current_share = std::clamp(required, this->current_share - fall,
                                      this->current_share + rise);
+    if (this->current_share <= 0)
+        this->is_returning = false;
 }
 
 void data_centre_choice::observe(std::string const& home,
@@ -190,6 +194,7 @@
     if (own == nullptr) {
         // The share applies once home's targets return. After a short absence
         // it is small; after a long one their back ends may be cold.
+        this->is_returning = true;
         this->move_share(this->limits.max_share, elapsed);
         this->gain = lost_home_gain;
         this->current = home_condition::empty;
@@ -260,7 +265,7 @@
 std::vector<target_record const*>
 merge_by_data_centre(ranked_by_data_centre const& ranked, bool is_leaving)
 {
-    constexpr std::size_t head = 3;
+    constexpr std::size_t head = 2;
     std::vector<target_record const*> const& preferred =
         is_leaving ? ranked.elsewhere : ranked.home;
     std::vector<target_record const*> const& others =
@@ -268,14 +273,16 @@
     std::vector<target_record const*> merged;
     merged.reserve(preferred.size() + others.size());
     std::size_t next = std::min(head, preferred.size());
+    std::size_t other = std::min(head, others.size());
     merged.assign(preferred.begin(),
                   preferred.begin() + static_cast<std::ptrdiff_t>(next));
-    for (std::size_t other = 0;
-         next < preferred.size() || other < others.size(); ++next, ++other) {
-        if (other < others.size())
-            merged.push_back(others[other]);
+    merged.insert(merged.end(), others.begin(),
+                  others.begin() + static_cast<std::ptrdiff_t>(other));
+    for (; next < preferred.size() || other < others.size(); ++next, ++other) {
         if (next < preferred.size())
             merged.push_back(preferred[next]);
+        if (other < others.size())
+            merged.push_back(others[other]);
     }
     return merged;
 }
--- a/src/placement/data_centre_choice.hpp
+++ b/src/placement/data_centre_choice.hpp
@@ -47,9 +47,12 @@
     double correction_per_second = 2.0;
 
     // Bounds of the change, per second. A rise has to keep up with a burst; a
-    // slow fall keeps delayed load reports from causing oscillation.
+    // slower fall keeps delayed load reports from causing oscillation.
     double rise_per_second = 2.0;
-    double fall_per_second = 0.25;
+    double fall_per_second = 0.5;
+
+    // After home had no usable target: its back ends may be cold.
+    double return_per_second = 0.25;
 
     // Below 1, so that some connections keep measuring the load at home.
     double max_share = 0.95;
@@ -149,6 +152,7 @@
     double current_share = 0;
     duration gain = {};  // largest recent one; decreases with time
     home_condition current = home_condition::has_room;
+    bool is_returning = false;  // since home had no usable target
     std::optional<time_point> updated_at = {};
 };
 
@@ -166,9 +170,9 @@
                      std::string const& home, data_centre_choice const& choice,
                      flow_key flow, bool is_leaving);
 
-// Merges both lists: three of the first choice, then one of each in turn, so
-// that an entry that asks four targets has asked both sides. Contains each
-// target once.
+// Merges both lists: two of each, then one of each in turn. An entry asks four
+// targets, and a third one on the side whose first two are busy is rarely free.
+// Contains each target once.
 std::vector<target_record const*>
 merge_by_data_centre(ranked_by_data_centre const& ranked, bool is_leaving);
 
--- a/tests/stories/data_centre_story.cpp
+++ b/tests/stories/data_centre_story.cpp
@@ -301,7 +301,7 @@
             };
             auto const home_count =
                 std::count_if(ordered.begin(), ordered.begin() + 4, is_home);
-            CHECK(home_count == 1 || home_count == 3);
+            CHECK(home_count == 2);
             CHECK(std::count_if(ordered.begin(), ordered.begin() + 16,
                                 is_home) >= 4);
         }
