Offer avoided targets outside an evacuation, and limit unlisted cold back ends

A target that the catalog does not list was offered connections without the limit of a cold back end, although its back end may have just restarted. A packet counted as a copy within a second after the first one even if it was no retransmission. The list of peers was copied on each tick without any evacuation.

Stories: opens_nothing_there_when_no_other_answers asks for the offer; keeps_the_limit_of_a_target_that_is_not_listed is new.

--- a/src/entry/configuration_events.ipp
+++ b/src/entry/configuration_events.ipp
@@ -89,6 +89,8 @@
 void connection_entry<R, P>::notify_evacuated_targets(effects_type& effects,
                                                       time_point now)
 {
+    if (this->config.evacuations().data_centres.empty())
+        return;
     for (addressed_notice const& one :
          this->evacuations.tick(this->config, this->directory.services(),
                                 this->member.known_peers(), now))
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -138,9 +138,9 @@
         this->forward(effects, *owner, packet, now);
         // Its target has left the list; it may be gone.
         if (this->may_locate() && !this->directory.contains(owner->target))
-            this->locate(effects, packet, now);
-    } else if (!owner && this->may_locate() && this->yield.is_low(now))
-        this->locate(effects, packet, now);
+            this->locate(effects, packet, {}, now);
+    } else if (!owner && this->may_skip_search(now))
+        this->locate(effects, packet, {}, now);
     else if (this->searches.is_blocked(packet.endpoints, now))
         effects.push_back(this->make_note(placement_result::owner_lost,
                                           packet.endpoints, now, now));
@@ -243,7 +243,7 @@
     }
     bool const is_retransmission =
         owner && owner->target != returned_by &&
-        detail::accepts_copy(*owner, *part, this->config, now);
+        detail::accepts_copy(*owner, packet, *part, this->config, now);
     // A retransmission goes to the target that accepted the first packet, even
     // if that target is leaving.
     std::vector<target_record const*> ranked =
@@ -251,9 +251,8 @@
             ? rank_owners(*part, make_flow_key(packet.endpoints))
             : this->select_candidates(*part, *route, packet.endpoints,
                                       returned_by, now);
-    detail::exclude_evacuated(ranked, this->config,
-                              is_retransmission ? std::optional{owner->target}
-                                                : std::nullopt);
+    if (is_retransmission)
+        detail::exclude_evacuated(ranked, this->config, owner->target);
     // A copy may belong to a connection that was opened through another entry,
     // so it is not reset.
     bool const is_refused = ranked.empty() &&
@@ -270,7 +269,8 @@
     for (target_record const* target : ranked)
         targets.push_back(
             {target->address, target->slots, *service, false,
-             target->state == target_state::joining ? warm_up_rate : 0,
+             detail::is_cold(*target, *service, this->config) ? warm_up_rate
+                                                              : 0,
              this->settings.prefer_home_data_centre &&
                  target->data_centre != this->settings.membership.data_centre});
     detail::move_candidates(targets,
@@ -307,15 +307,19 @@
     std::size_t const limit = this->preference.is_enabled()
                                   ? part.targets.size()
                                   : detail::max_candidates;
-    std::vector<target_record const*> const ranked =
-        rank_targets_if(part, flow, limit,
-                        [this, returned_by, now](target_record const& target) {
-                            return target.address != returned_by &&
-                                   !this->hints.is_avoided(target.address, now);
-                        });
+    auto const is_open = [this](target_record const& target) {
+        return !this->config.is_evacuated(target.data_centre);
+    };
+    std::vector<target_record const*> ranked = rank_targets_if(
+        part, flow, limit, [&, returned_by, now](target_record const& target) {
+            return is_open(target) && target.address != returned_by &&
+                   !this->hints.is_avoided(target.address, now);
+        });
+    if (ranked.empty())
+        ranked = rank_targets_if(part, flow, detail::max_candidates, is_open);
     return this->preference.order_candidates(
-        part.id, ranked.empty() ? rank_targets(part, flow) : ranked, flow,
-        route.objective, detail::max_candidates, this->hints, now);
+        part.id, std::move(ranked), flow, route.objective,
+        detail::max_candidates, this->hints, now);
 }
 
 // Passes on what is known of the targets. Visits all of them, so at most once
@@ -482,7 +486,7 @@
         this->record_lost_owner(effects, failed.progress, note, now);
     else
         this->suspend_search(effects, failed, note, now);
-    this->locate(effects, failed.packet, now);
+    this->locate(effects, failed.packet, failed.progress, now);
 }
 
 // Resets the connection at once, so that the caller need not wait for a
--- a/src/entry/evacuation_rules.hpp
+++ b/src/entry/evacuation_rules.hpp
@@ -7,10 +7,10 @@
 #pragma once
 
 #include "catalog/catalog.hpp"
+#include "connection/packet.hpp"
 #include "placement/owner_table.hpp"
 
 #include <algorithm>
-#include <optional>
 #include <vector>
 
 namespace lagoon::detail {
@@ -41,8 +41,10 @@
 // Returns whether an opening packet of a connection with this owner may go to
 // the owner. In an evacuated data centre the owner gets only copies of the
 // packet that it accepted.
-inline bool accepts_copy(owner_record const& owner, service_part const& part,
-                         catalog const& current, time_point now)
+inline bool accepts_copy(owner_record const& owner,
+                         connection_packet const& packet,
+                         service_part const& part, catalog const& current,
+                         time_point now)
 {
     bool const is_evacuated =
         std::any_of(part.targets.begin(), part.targets.end(),
@@ -50,9 +52,10 @@
                         return target.address == owner.target &&
                                current.is_evacuated(target.data_centre);
                     });
-    bool const is_recent =
-        !owner.is_finished && now - owner.arrived_at <= max_copy_delay;
-    return !is_evacuated || is_recent;
+    bool const is_copy = packet.retransmission_count > 0 &&
+                         !owner.is_finished &&
+                         now - owner.arrived_at <= max_copy_delay;
+    return !is_evacuated || is_copy;
 }
 
 // ---- exclude_evacuated --------------------------------------------------
@@ -60,8 +63,7 @@
 // Removes the targets in evacuated data centres, except the owner of the
 // connection.
 inline void exclude_evacuated(std::vector<target_record const*>& targets,
-                              catalog const& current,
-                              std::optional<peer_address> owner)
+                              catalog const& current, peer_address owner)
 {
     std::erase_if(targets, [&](target_record const* target) {
         return target->address != owner &&
--- a/src/placement/warm_up_rate.hpp
+++ b/src/placement/warm_up_rate.hpp
@@ -2,6 +2,7 @@
 //
 // Index
 //   find_warm_up_rate   opening packets per second
+//   is_cold             whether the limit applies to a target
 #pragma once
 
 #include "catalog/catalog.hpp"
@@ -28,4 +29,18 @@
                : 0;
 }
 
+// ---- is_cold ------------------------------------------------------------
+
+namespace detail {
+
+// A back end whose target the catalog does not list may have just restarted.
+inline bool is_cold(target_record const& target, service_id service,
+                    catalog const& current)
+{
+    return target.state == target_state::joining ||
+           !current.find_state(service, target.id).has_value();
+}
+
+}  // namespace detail
+
 }  // namespace lagoon
--- a/tests/stories/cold_back_end_story.cpp
+++ b/tests/stories/cold_back_end_story.cpp
@@ -308,6 +308,21 @@
     CHECK(this->fleet.earned_share(start, start + 5s) > 0.9);
 }
 
+// Load pattern: power is lost, and entries offer connections to restarted back
+// ends before the catalog lists them again.
+TEST(a_fleet_warming_up, keeps_the_limit_of_a_target_that_is_not_listed)
+{
+    this->fleet.unlisted.insert(0);
+    this->fleet.publish();
+    time_point const start = this->fleet.now();
+    this->fleet.add_load(this->kind, 300, 1s, 4);
+    this->fleet.run_for(1500ms);
+    std::size_t const largest =
+        this->fleet.max_accepted_within(0, 1s, start);
+    CHECK(largest > 0);
+    CHECK(largest <= limit);
+}
+
 // Load pattern: after a power loss every back end of a service is cold.
 TEST(a_fleet_warming_up, keeps_the_limit_when_all_are_cold)
 {
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -1068,7 +1068,9 @@
     this->open(1);
     this->answer(this->get_last_offer(), offer_verdict::no_answer);
     CHECK(this->find_all<send_offer>().empty());
+    // It is offered although it is avoided: no other target may be used.
     this->open(2);
+    CHECK(this->has_offer_to(second));
     CHECK(!this->has_offer_to(first));
 }
 
