Start the proof of a whole list over after gaps and reverts

Contacts and own reads are recorded apart now: contacts show that there was no gap, and the time of the list is that of an own read. A read without a watch carries the routes in force.

--- a/src/membership/membership.hpp
+++ b/src/membership/membership.hpp
@@ -194,8 +194,8 @@
     // target.
     std::optional<time_point> whole_list_as_of() const;
 
-    // Whether a read that starts now gives such a time.
-    bool can_confirm_list(time_point now) const;
+    // Whether a read that starts now is needed to get such a time.
+    bool needs_list_read(time_point now) const;
 
     // Returns the time since the latest known contact of any process with the
     // platform that showed the catalog, or an earlier one, to be current.
@@ -221,6 +221,7 @@
     read_schedule current_schedule(catalog const& current);
     void begin_catch_up(time_point now);
     bool is_era_unread(catalog const& current) const;
+    void restart_list_after_revert(catalog const& current, time_point now);
     void record_contact(platform_contact_report const& report,
                         catalog const& current);
     void accept_reported_contact(catalog const& current);
@@ -249,6 +250,7 @@
     bool has_platform_answered = false;  // to the last read
     bool needs_full_read = false;        // after a conflict
     list_confirmation list_state;
+    std::uint64_t list_era = 0;  // of the catalog that list_state is about
     std::optional<time_point> last_full_fetch_at = {};
     std::optional<catalog_version> schedule_version = {};
     std::size_t schedule_peer_count = 0;
--- a/src/membership/membership.ipp
+++ b/src/membership/membership.ipp
@@ -55,6 +55,17 @@
     this->begin_catch_up(now);
 }
 
+// The process that reads a later era first does not learn of it from a digest.
+template <random_source R>
+void membership<R>::restart_list_after_revert(catalog const& current,
+                                              time_point now)
+{
+    std::uint64_t const era = find_position(current.version().number).era;
+    if (era > this->list_era)
+        this->list_state.reset(now);
+    this->list_era = era;
+}
+
 template <random_source R>
 bool membership<R>::is_era_unread(catalog const& current) const
 {
@@ -158,13 +169,11 @@
     this->reported_contact.reset();
 }
 
-// The time of a contact is that of the answer. What the platform held is older
-// by the time that the answer took.
 template <random_source R>
 void membership<R>::record_platform_contact(time_point at)
 {
     this->platform_contact = std::max(this->platform_contact, at);
-    this->list_state.record(at - this->settings.timing.read_timeout);
+    this->list_state.record_contact(at);
 }
 
 template <random_source R>
@@ -216,11 +225,13 @@
                                                   catalog const& current,
                                                   time_point now)
 {
+    this->restart_list_after_revert(current, now);
     if (source == change_source::platform) {
-        // A watch may have answered with what the platform held at its end.
-        if (this->read_started_at && this->current_watch == duration{})
-            this->list_state.record(*this->read_started_at);
-        this->list_state.record(now - this->settings.timing.read_timeout);
+        this->list_state.record_contact(now);
+        // The contents of an answer may be as old as its request, also those of
+        // a watch.
+        if (this->read_started_at)
+            this->list_state.record_read(*this->read_started_at);
         this->read_started_at.reset();
         this->needs_full_read = false;
         this->platform_contact = now;
@@ -249,6 +260,7 @@
                                           catalog const& current,
                                           time_point now)
 {
+    this->restart_list_after_revert(current, now);
     this->is_compared_with_peer = true;
     this->fetch_started_at.reset();
     this->accept_reported_contact(current);
@@ -409,6 +421,7 @@
     this->peers.sweep(now);
     if (now - this->last_tick_at > this->settings.timing.pause_threshold) {
         this->begin_catch_up(now);
+        this->list_state.reset(now);
         this->read_started_at.reset();
         this->fetch_started_at.reset();
         this->earliest_read_at = now;
@@ -445,13 +458,14 @@
                                                 : current.version().number,
                           false,
                           {},
-                          this->settings.timing.read_timeout}};
+                          this->settings.timing.read_timeout,
+                          current.routes()}};
 }
 
 template <random_source R>
-bool membership<R>::can_confirm_list(time_point now) const
+bool membership<R>::needs_list_read(time_point now) const
 {
-    return this->list_state.can_confirm(now);
+    return this->list_state.needs_read(now);
 }
 
 template <random_source R>
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -112,6 +112,12 @@
 {
     time_point const start{100s};
     list_confirmation list{this->start};
+
+    void contact_until(duration from, duration end)
+    {
+        for (; from <= end; from += 100ms)
+            this->list.record_contact(this->start + from);
+    }
 };
 
 }  // namespace
@@ -122,27 +128,51 @@
 // may have come back just before the entry started.
 TEST(list_of_targets, is_whole_some_time_after_the_first_contact)
 {
-    this->list.record(this->start + 100ms);
-    this->list.record(this->start + 2599ms);
+    this->contact_until(100ms, 2700ms);
+    this->list.record_read(this->start + 2599ms);
     CHECK(!this->list.whole_as_of());
-    this->list.record(this->start + 2600ms);
+    this->list.record_read(this->start + 2600ms);
     SAME(this->start + 2600ms, *this->list.whole_as_of());
 }
 
 TEST(list_of_targets, is_not_confirmed_by_contacts_before_the_start)
 {
-    this->list.record(this->start - 1ms);
-    this->list.record(this->start + 2s);
+    this->list.record_contact(this->start - 1ms);
+    this->contact_until(1s, 3s);
+    this->list.record_read(this->start + 3s);
     CHECK(!this->list.whole_as_of());
 }
 
 TEST(list_of_targets, starts_over_when_the_platform_has_lost_writes)
 {
-    this->list.record(this->start);
-    this->list.record(this->start + 3s);
+    this->contact_until(0s, 3s);
+    this->list.record_read(this->start + 3s);
     this->list.reset(this->start + 4s);
-    this->list.record(this->start + 5s);
+    this->contact_until(5s, 7s);
+    this->list.record_read(this->start + 7s);
+    CHECK(!this->list.whole_as_of());
+}
+
+// Guards against resets after an outage of the platform: keys of living targets
+// lapsed meanwhile, and are back only some time after its return.
+TEST(list_of_targets, starts_over_after_a_gap_in_the_contact)
+{
+    this->contact_until(0s, 3s);
+    this->contact_until(13s, 15400ms);
+    this->list.record_read(this->start + 15400ms);
     CHECK(!this->list.whole_as_of());
+    this->contact_until(15500ms, 16s);
+    this->list.record_read(this->start + 15500ms);
+    SAME(this->start + 15500ms, *this->list.whole_as_of());
+}
+
+// Guards against the age of an answer that a peer has passed on: its contents
+// may be older.
+TEST(list_of_targets, is_not_whole_without_a_read_of_this_process)
+{
+    this->contact_until(0s, 10s);
+    CHECK(!this->list.whole_as_of());
+    CHECK(this->list.needs_read(this->start + 10s));
 }
 
 namespace {
@@ -354,6 +384,33 @@
     CHECK(!this->is_lost());
 }
 
+// The targets were asked about an earlier connection with the same endpoints.
+TEST(locator_without_a_proof, applies_no_denial_to_a_later_connection)
+{
+    this->advance();
+    this->now += 1ms;
+    this->locator.erase(make_packet(port).endpoints);
+    this->add(port);
+    this->list.as_of = this->now;
+    this->deny_all();
+    CHECK(!this->is_lost());
+    UNSIGNED_LONGS_EQUAL(1, this->locator.size());
+}
+
+// As above, but the later connection was opened through another entry.
+TEST(locator_without_a_proof, notices_that_the_endpoints_are_used_again)
+{
+    this->list.as_of = this->start - 1ms;
+    this->advance();
+    this->deny_all();
+    connection_packet later = make_packet(port);
+    later.acknowledgement += 1'000'000;
+    this->locator.add(later, this->now);
+    this->list.as_of = this->now;
+    this->advance(1ms);
+    CHECK(!this->is_lost());
+}
+
 TEST(locator_without_a_proof, asks_nobody_while_the_list_may_lack_targets)
 {
     this->list.as_of.reset();
