Leave unsure targets to the searches, and judge only what was asked

Each packet that a target had returned put its connection into the locator, and each call of the locator visited all pending connections, while small entries needed their processor for searches.

Change: a connection is located after its search has ended, and only if few back ends were tried; the locator advances when a round is due; searches are skipped only while its rounds decide. A verdict counts only for connections that were pending when the round began, and a connection with another sequence replaces the one with the same endpoints.

--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -269,8 +269,9 @@
     void suspend_search(effects_type& effects, placement_failed const& failed,
                         placement_note const& note, time_point now);
     bool may_locate() const;
+    bool may_skip_search(time_point now);
     void locate(effects_type& effects, connection_packet const& packet,
-                time_point now);
+                search_progress const& progress, time_point now);
     located_targets list_located_targets() const;
     void advance_locator(effects_type& effects, time_point now);
     void handle_outcome(effects_type& effects, send_locate_query const& query,
--- a/src/entry/lost_connections.ipp
+++ b/src/entry/lost_connections.ipp
@@ -13,15 +13,33 @@
            this->member.whole_list_as_of().has_value();
 }
 
+// Searches are left to the locator only while it decides: after a restart of
+// all targets they are unsure, and every connection has an owner.
+template <random_source R, placement_policy P>
+bool connection_entry<R, P>::may_skip_search(time_point now)
+{
+    return this->may_locate() && this->locator.is_conclusive(now) &&
+           this->yield.is_low(now);
+}
+
+// While many targets are unsure, as after a restart of all of them, no proof is
+// to be had, and the entry's processor is needed for the searches.
 template <random_source R, placement_policy P>
 void connection_entry<R, P>::locate(effects_type& effects,
                                     connection_packet const& packet,
+                                    search_progress const& progress,
                                     time_point now)
 {
-    if (!this->settings.reset_lost_connections || packet.is_reset)
+    bool const is_provable =
+        progress.trial_count <= this->settings.locator.max_trials;
+    if (!this->settings.reset_lost_connections || packet.is_reset ||
+        !is_provable)
         return;
     this->locator.add(packet, now);
-    this->advance_locator(effects, now);
+    // Advancing visits all pending connections, which is too much for each
+    // packet of a caller.
+    if (this->locator.next_due() <= now)
+        this->advance_locator(effects, now);
 }
 
 // Targets that were removed from the catalog unannounced a moment ago may be
@@ -57,7 +75,7 @@
             outcome);
     std::optional<time_point> const as_of = this->member.whole_list_as_of();
     bool const is_read_needed = as_of ? this->locator.needs_list_after(*as_of)
-                                      : this->member.can_confirm_list(now);
+                                      : this->member.needs_list_read(now);
     if (is_read_needed)
         detail::append(effects, this->member.read_now(this->config, now));
 }
--- a/src/entry/owner_search.ipp
+++ b/src/entry/owner_search.ipp
@@ -28,9 +28,8 @@
     // While nearly all searches fail, most of the queries find nothing and delay
     // the packets of the connections that have an owner.
     std::size_t const limit = this->settings.placement.first_batch_end;
-    bool const is_shortened = this->settings.reset_lost_connections &&
-                              search.remaining.size() > limit &&
-                              this->yield.is_low(now);
+    bool const is_shortened =
+        search.remaining.size() > limit && this->may_skip_search(now);
     if (is_shortened)
         search.remaining.resize(limit);
     if (search.remaining.empty())
@@ -67,14 +66,15 @@
         this->searches.take_found(packet.endpoints, now);
     if (!previous)
         this->search(effects, packet, std::nullopt, returned_by, now);
-    else if (previous->remaining.empty())
+    else if (!previous->remaining.empty())
+        this->search_candidates(effects, packet, *previous, now);
+    else {
         this->record_lost_owner(effects, previous->progress,
                                 this->make_note(placement_result::owner_lost,
                                                 packet.endpoints, now, now),
                                 now);
-    else
-        this->search_candidates(effects, packet, *previous, now);
-    this->locate(effects, packet, now);
+        this->locate(effects, packet, previous->progress, now);
+    }
 }
 
 template <random_source R, placement_policy P>
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -10,6 +10,19 @@
 // Denials of earlier rounds are asked for again.
 constexpr std::size_t max_answered_rounds = 16;
 
+// Acknowledgements of one connection are closer than this. Another connection
+// with the same endpoints starts its sequence elsewhere.
+constexpr std::uint32_t sequence_window = 76'800;  // bytes
+
+bool is_same_connection(connection_packet const& earlier,
+                        connection_packet const& later)
+{
+    std::uint32_t const ahead = later.acknowledgement - earlier.acknowledgement;
+    std::uint32_t const behind =
+        earlier.acknowledgement - later.acknowledgement;
+    return std::min(ahead, behind) <= sequence_window;
+}
+
 bool contains_all(std::vector<located_target> const& all,
                   std::vector<located_target> const& wanted)
 {
@@ -27,11 +40,14 @@
 void connection_locator::add(connection_packet const& packet, time_point now)
 {
     auto const found = this->pending.find(packet.endpoints);
-    if (found != this->pending.end()) {
+    bool const is_same = found != this->pending.end() &&
+                         is_same_connection(found->second.packet, packet);
+    if (is_same) {
         found->second.packet = packet;
         found->second.last_packet_at = now;
         return;
     }
+    this->erase(packet.endpoints);
     if (this->pending.size() >= this->limits.max_connections)
         return;
     this->pending.emplace(packet.endpoints,
@@ -41,7 +57,8 @@
 
 void connection_locator::erase(connection_endpoints const& endpoints)
 {
-    this->pending.erase(endpoints);
+    if (this->pending.erase(endpoints) > 0)
+        std::erase(this->order, endpoints);
 }
 
 bool connection_locator::is_pending(connection_endpoints const& endpoints) const
@@ -57,6 +74,12 @@
         });
 }
 
+bool connection_locator::is_conclusive(time_point now) const
+{
+    return this->concluded_at &&
+           now - *this->concluded_at <= this->limits.conclusive_lifetime;
+}
+
 std::size_t connection_locator::size() const
 {
     return this->pending.size();
@@ -119,7 +142,7 @@
 {
     locator_outcomes outcomes;
     if (this->round && this->is_round_over(now))
-        this->end_round(outcomes, list);
+        this->end_round(outcomes, list, now);
     if (list.as_of)
         this->collect_lost(outcomes, list);
     this->drop_silent(now);
@@ -169,7 +192,7 @@
 
 // Connections without a decision are asked about again, after the others.
 void connection_locator::end_round(locator_outcomes& outcomes,
-                                   located_targets const& list)
+                                   located_targets const& list, time_point now)
 {
     std::vector<located_target> answering;
     for (auto const& [query, asked] : this->round->asked)
@@ -182,6 +205,7 @@
         this->answered.emplace(this->round->number, answering);
     if (this->answered.size() > max_answered_rounds)
         this->answered.erase(this->answered.begin());
+    this->concluded_at = is_list_covered ? std::optional{now} : std::nullopt;
     for (std::size_t i = 0; i < this->round->connections.size(); ++i)
         this->judge(outcomes, this->round->connections[i], i, is_list_covered);
     this->round.reset();
@@ -192,7 +216,11 @@
                                std::size_t position, bool is_list_covered)
 {
     auto const found = this->pending.find(endpoints);
-    if (found == this->pending.end())
+    // The endpoints may be used by a connection that the targets were not asked
+    // about.
+    bool const is_asked = found != this->pending.end() &&
+                          found->second.arrived_at <= this->round->started_at;
+    if (!is_asked)
         return;
     std::vector<located_target> unsure;
     for (auto const& [query, asked] : this->round->asked) {
@@ -212,6 +240,7 @@
         this->pending.erase(found);
         this->next_round_at =
             this->round->started_at + this->limits.unsure_pause;
+        this->concluded_at.reset();
         return;
     }
     this->order.push_back(endpoints);
--- a/src/placement/connection_locator.hpp
+++ b/src/placement/connection_locator.hpp
@@ -121,6 +121,9 @@
     std::size_t max_trials = 8;
     duration unsure_pause = std::chrono::seconds{1};
 
+    // How long after a conclusive round others are expected to be so too.
+    duration conclusive_lifetime = std::chrono::seconds{1};
+
     auto operator<=>(locator_limits const&) const = default;
 };
 
@@ -144,6 +147,11 @@
     // `as_of`, so that only a more recent list is missing.
     bool needs_list_after(time_point as_of) const;
 
+    // Whether all targets answered the latest round a moment ago, and few were
+    // unsure. Otherwise a connection is found sooner by a search along the
+    // ranking.
+    bool is_conclusive(time_point now) const;
+
     // Returns whether this was the last answer of a round.
     bool on_reply(peer_address from, locate_reply const& reply);
 
@@ -187,7 +195,8 @@
 
     bool is_round_over(time_point now) const;
     duration round_timeout() const;
-    void end_round(locator_outcomes& outcomes, located_targets const& list);
+    void end_round(locator_outcomes& outcomes, located_targets const& list,
+                   time_point now);
     void judge(locator_outcomes& outcomes,
                connection_endpoints const& endpoints, std::size_t position,
                bool is_list_covered);
@@ -205,6 +214,7 @@
     std::uint64_t last_round = 0;
     std::uint32_t last_query = 0;
     time_point next_round_at = {};
+    std::optional<time_point> concluded_at = {};  // empty: not conclusive
 
     // The targets that answered in each of the latest rounds, sorted.
     std::map<std::uint64_t, std::vector<located_target>> answered = {};
