Return opening packets that were queued before an evacuation

A packet that waits at a target could reach its back end as late as its deadline permits, after the time limit of the evacuation. When its turn comes, the target compares the catalog generation of its offer with the notice, and returns it to the entry, which offers it elsewhere. Story: returns_what_was_queued_before.

--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -240,6 +240,8 @@
                                connection_packet const& packet,
                                peer_address entry, time_point now);
     void start_queued(effects_type& effects, time_point now);
+    void return_queued(effects_type& effects, waiting_open const& open,
+                       time_point now);
     void release_stale_slots(effects_type& effects, time_point now);
     void handle_other_packet(effects_type& effects, entry_offer const& event,
                              time_point now);
--- a/src/target/connection_target.ipp
+++ b/src/target/connection_target.ipp
@@ -24,6 +24,13 @@
     return urgency;
 }
 
+// Returns the generation of the entry's catalog; 0 without attributes.
+inline generation get_generation(packet_offer const& offer)
+{
+    return offer.attributes ? offer.attributes->config_generation
+                            : generation{};
+}
+
 }  // namespace detail
 
 template <queue_policy Q, running_time_predictor T>
@@ -182,9 +189,7 @@
 template <queue_policy Q, running_time_predictor T>
 bool connection_target<Q, T>::is_outdated(packet_offer const& offer) const
 {
-    generation const known =
-        offer.attributes ? offer.attributes->config_generation : generation{};
-    return known < this->newest_notice;
+    return detail::get_generation(offer) < this->newest_notice;
 }
 
 template <queue_policy Q, running_time_predictor T>
@@ -294,7 +299,8 @@
         this->reply(effects, event, offer_verdict::refused, true, now);
         return;
     }
-    this->queued_opens.put({packet, event.from});
+    this->queued_opens.put(
+        {packet, event.from, detail::get_generation(event.offer)});
     this->start_queued(effects, now);
     connection_record const* updated = this->connections.find(packet.endpoints);
     bool const is_waiting =
@@ -347,13 +353,35 @@
             return;
         std::optional<waiting_open> const one =
             this->queued_opens.take(next->key.flow);
-        if (one && this->connections.find(one->packet.endpoints) != nullptr)
+        bool const is_known =
+            one && this->connections.find(one->packet.endpoints) != nullptr;
+        if (is_known && one->config_generation >= this->newest_notice) {
             this->send_open_to_back_end(effects, one->packet, one->entry, now);
-        else
-            this->admission_control.release(next->key);
+            continue;
+        }
+        this->admission_control.release(next->key);
+        if (is_known)
+            this->return_queued(effects, *one, now);
     }
 }
 
+// Returns a packet that was queued before an evacuation, so that the entry
+// offers it elsewhere.
+template <queue_policy Q, running_time_predictor T>
+void connection_target<Q, T>::return_queued(effects_type& effects,
+                                            waiting_open const& open,
+                                            time_point now)
+{
+    this->connections.erase(open.packet.endpoints);
+    tracking_note note =
+        this->make_note(tracking_result::evacuated, open.packet.endpoints, {});
+    note.entry = open.entry;
+    effects.push_back(note);
+    effects.push_back(
+        reply_to_entry{open.entry, this->make_reply({}, offer_verdict::leaving,
+                                                    open.packet.bytes, now)});
+}
+
 // Callers give up without notice, so their slots are freed after a timeout.
 template <queue_policy Q, running_time_predictor T>
 void connection_target<Q, T>::release_stale_slots(effects_type& effects,
--- a/src/tracking/waiting_opens.hpp
+++ b/src/tracking/waiting_opens.hpp
@@ -18,6 +18,7 @@
 {
     connection_packet packet = {};
     peer_address entry = {};
+    generation config_generation = {};  // of the entry when it offered this
     auto operator<=>(waiting_open const&) const = default;
 };
 
--- a/tests/stories/connection_target_story.cpp
+++ b/tests/stories/connection_target_story.cpp
@@ -840,6 +840,22 @@
     CHECK(this->sends_to_back_end("open 1"));
 }
 
+// Guards against opening packets that reach the back end as late as their
+// deadline permits, after the time limit of the evacuation.
+TEST(connection_target_in_an_evacuated_data_centre,
+     returns_what_was_queued_before)
+{
+    for (std::uint16_t port : {1, 2, 3, 4})
+        this->offer_open_at(port, noticed);
+    CHECK(this->replies_with(offer_verdict::waiting));
+    this->notify(noticed + 10);
+    this->answer(1, 13ms);
+    CHECK(this->replies_with(offer_verdict::leaving));
+    CHECK(!this->sends_to_back_end("open 3"));
+    CHECK(!this->sends_to_back_end("open 4"));
+    UNSIGNED_LONGS_EQUAL(2, this->count_refusals());
+}
+
 TEST(connection_target_in_an_evacuated_data_centre, serves_open_connections)
 {
     this->offer_open_at(1, noticed);
