--- a/src/target/connection_target.hpp
+++ b/src/target/connection_target.hpp
@@ -290,3 +290,5 @@
 }  // namespace lagoon
 
 #include "target/connection_target.ipp"
+#include "target/open_connections.ipp"
+#include "target/opening_packets.ipp"
