Evacuate data centres in the fault soak

A fault writes the key of one or two data centres and removes it some seconds later. The new promise evacuated_admits_nothing is broken when a back end there gets a connection later than the limit of 3 s. An entry that the store refuses is judged too, as long as a peer can tell it. Machines belong to one of four data centres.

--- a/tests/soak/faulty_store.hpp
+++ b/tests/soak/faulty_store.hpp
@@ -31,6 +31,8 @@
         store.answer(call, may_wait)
         } -> std::same_as<std::optional<http_reply>>;
     store.forget_history();
+    store.put_evacuation(std::string{});
+    store.remove_evacuation(std::string{});
     store.put_odd_target(S::odd_kinds - 1, target);
 };
 
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -58,6 +58,14 @@
         return this->make_ip(5, entry);
     }
 
+    // Four data centres and three services, so that the targets of a data
+    // centre belong to different services.
+    static std::string get_data_centre(std::size_t machine)
+    {
+        constexpr std::size_t data_centres = 4;
+        return "zg-" + std::to_string(machine % data_centres);
+    }
+
     std::uint32_t get_router_ip() const
     {
         return this->make_ip(6, 0);
@@ -132,14 +140,16 @@
                  "\"";
     std::uint32_t const own = network.get_machine_ip(machine);
     return "{\n  \"name\": \"entry-" + std::to_string(machine) +
-           "\",\n  \"data_centre\": \"zg-" + std::to_string(machine % 2) +
-           "\",\n" + write_address_field("packets", own, fleet_ports::packets) +
+           "\",\n  \"data_centre\": \"" +
+           fleet_addresses::get_data_centre(machine) + "\",\n" +
+           write_address_field("packets", own, fleet_ports::packets) +
            write_address_field("exchange", own, fleet_ports::exchange) +
            write_address_field("ready", own, fleet_ports::ready) +
            write_address_field("metrics", own, fleet_ports::metrics) +
            write_address_field("platform", network.get_store_ip(machine),
                                fleet_ports::store) +
            "  \"seeds\": [" + seeds + "],\n  \"change_limit_ms\": 3000,\n" +
+           "  \"evacuation_limit_ms\": 3000,\n" +
            detail::write_log_fields(log_lines_per_second);
 }
 
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -42,6 +42,7 @@
             {"store_refuses", false, true, false, 2},
             {"store_forgets", false, true, false, 2},
             {"change_routes", true, true, false, 3},
+            {"evacuate", true, true, false, 3},
             {"kill_all", false, true, false, 0}}};
 
 // Faults overlap: with 24 processes one begins each second on average and
@@ -50,6 +51,10 @@
 constexpr std::uint64_t max_span_us = 4'000'000;
 constexpr double max_share = 0.3;
 
+// More than the evacuation limit of 3 s, since only what arrives after the
+// limit is checked.
+constexpr duration min_evacuation_span = 4s;
+
 // Covers the recovery limit and the window in which recovery is measured.
 constexpr duration kill_all_span = 17s;
 
@@ -94,6 +99,8 @@
         one.machine = first + random_index(this->random, end - first);
         one.span = duration{static_cast<std::int64_t>(
             100'000 + random_index(this->random, max_span_us))};
+        if (one.kind == fault_kind::evacuate)
+            one.span += min_evacuation_span;
         one.share = this->draw_fraction() * max_share;
         return one;
     }
--- a/tests/soak/plan.hpp
+++ b/tests/soak/plan.hpp
@@ -52,6 +52,7 @@
     store_forgets,  // discards its change history
     // Faults of the whole system.
     change_routes,  // stores 1 + machine % 5 versions in a row
+    evacuate,       // one data centre, or two if the share is 0.15 or more
     kill_all,       // restarts all processes; if share > 0, also back ends
     last            // number of kinds; not a fault
 };
@@ -71,7 +72,7 @@
     fault_kind kind = fault_kind::freeze;
     std::size_t machine = 0;  // index; entries come before targets
     // 0 to 1: the share of datagrams that a link fault affects; selects a
-    // variant of kill_all and of store_refuses.
+    // variant of kill_all, of store_refuses and of evacuate.
     double share = 0;
     auto operator<=>(fault const&) const = default;
 };
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -34,6 +34,7 @@
               "open_connections_stay",
               "packets_find_their_own",
               "leaving_admits_nothing",
+              "evacuated_admits_nothing",
               "routes_in_force",
               "routes_never_back",
               "back_in_time",
@@ -70,9 +71,11 @@
 void disturbance_record::record_disturbance(std::size_t machine,
                                             disturbance kind, time_point until)
 {
-    auto& until_times = kind == disturbance::planned ? this->planned_until
-                                                     : this->unplanned_until;
-    until_times[machine] = std::max(until_times[machine], until);
+    until_times& times = kind == disturbance::planned ? this->planned_until
+                         : kind == disturbance::unplanned
+                             ? this->unplanned_until
+                             : this->store_refused_until;
+    times[machine] = std::max(times[machine], until);
 }
 
 void disturbance_record::record_store_disturbance(time_point until)
@@ -85,21 +88,31 @@
     return until == time_point{} || until + this->settling_time <= at;
 }
 
+bool disturbance_record::has_settled(until_times const& times,
+                                     std::size_t machine, time_point at) const
+{
+    auto const found = times.find(machine);
+    return found == times.end() || this->has_settled(found->second, at);
+}
+
 bool disturbance_record::is_free_of_faults(std::size_t machine,
                                            time_point at) const
 {
-    auto const found = this->unplanned_until.find(machine);
-    return found == this->unplanned_until.end() ||
-           this->has_settled(found->second, at);
+    return this->has_settled(this->unplanned_until, machine, at) &&
+           this->has_settled(this->store_refused_until, machine, at);
 }
 
 bool disturbance_record::is_undisturbed(std::size_t machine,
                                         time_point at) const
 {
-    auto const found = this->planned_until.find(machine);
     return this->is_free_of_faults(machine, at) &&
-           (found == this->planned_until.end() ||
-            this->has_settled(found->second, at));
+           this->has_settled(this->planned_until, machine, at);
+}
+
+bool disturbance_record::is_in_contact(std::size_t machine, time_point at) const
+{
+    return this->has_settled(this->unplanned_until, machine, at) &&
+           this->has_settled(this->planned_until, machine, at);
 }
 
 bool disturbance_record::is_store_undisturbed(time_point at) const
@@ -213,13 +226,26 @@
     this->routes.add(std::move(version));
 }
 
+void promise_checker::on_evacuation_stored(std::string const& data_centre,
+                                           time_point at)
+{
+    this->evacuated_since.try_emplace(data_centre, at);
+}
+
+void promise_checker::on_evacuation_removed(std::string const& data_centre)
+{
+    this->evacuated_since.erase(data_centre);
+}
+
 // ---- back ends ----------------------------------------------------------
 
 void promise_checker::on_back_end_started(back_end_incarnation incarnation,
                                           std::size_t machine,
-                                          std::string const& service)
+                                          std::string const& service,
+                                          std::string const& data_centre)
 {
-    this->back_ends[incarnation] = {machine, service, std::nullopt, true};
+    this->back_ends[incarnation] = {machine, service, data_centre, std::nullopt,
+                                    true};
 }
 
 void promise_checker::on_back_end_leaving(back_end_incarnation incarnation,
@@ -245,6 +271,7 @@
     if (is_opening)
         connection.entries.insert(entry);
     connection.last_entry = entry;
+    this->known_entries.insert(entry);
 }
 
 bool promise_checker::are_entries_undisturbed(
@@ -271,6 +298,7 @@
     connection_record const& connection = found->second;
     this->check_routes(endpoints, connection, back_end.service, at);
     this->check_leaving(endpoints, connection, back_end, at);
+    this->check_evacuation(endpoints, connection, back_end, at);
 }
 
 void promise_checker::check_routes(connection_endpoints const& endpoints,
@@ -345,6 +373,42 @@
                                 " it began to leave");
 }
 
+bool promise_checker::can_read_changes(std::size_t entry, time_point at) const
+{
+    return this->disturbances.is_in_contact(entry, at) &&
+           std::any_of(this->known_entries.begin(), this->known_entries.end(),
+                       [this, at](std::size_t reader) {
+                           return this->disturbances.is_undisturbed(reader, at);
+                       });
+}
+
+// The entries must have read changes for the settling time, which is longer
+// than the limit.
+void promise_checker::check_evacuation(connection_endpoints const& endpoints,
+                                       connection_record const& connection,
+                                       back_end_record const& back_end,
+                                       time_point at)
+{
+    auto const found = this->evacuated_since.find(back_end.data_centre);
+    if (found == this->evacuated_since.end() ||
+        at <= found->second + this->bounds.evacuation_limit)
+        return;
+    if (std::all_of(connection.entries.begin(), connection.entries.end(),
+                    [this, at](std::size_t entry) {
+                        return this->can_read_changes(entry, at);
+                    }) &&
+        this->disturbances.is_free_of_faults(back_end.machine, at) &&
+        this->disturbances.is_store_undisturbed(at))
+        this->report_broken(promise::evacuated_admits_nothing, at,
+                            describe(endpoints) + ", sent by entry " +
+                                std::to_string(connection.last_entry) +
+                                ", was accepted at machine " +
+                                std::to_string(back_end.machine) + " in " +
+                                back_end.data_centre + ", " +
+                                describe_delay(found->second, at) +
+                                " its evacuation");
+}
+
 void promise_checker::on_connection_opened(
     connection_endpoints const& endpoints, back_end_incarnation incarnation,
     time_point at)
--- a/tests/soak/promises.hpp
+++ b/tests/soak/promises.hpp
@@ -35,12 +35,13 @@
     open_connections_stay,   // no process resets one while its back end runs
     packets_find_their_own,  // reach the back end of their open connection
     leaving_admits_nothing,  // no connection opens there after the limit
-    routes_in_force,         // a stored version, after the limit
-    routes_never_back,       // no older version until the process restarts
-    back_in_time,            // requests are served after all were killed
-    stops_in_time,           // after a request to stop
-    stays_up,                // no process exits by itself
-    last                     // number of promises; also stands for no promise
+    evacuated_admits_nothing,  // data centre, after the limit
+    routes_in_force,           // a stored version, after the limit
+    routes_never_back,         // no older version until the process restarts
+    back_in_time,              // requests are served after all were killed
+    stops_in_time,             // after a request to stop
+    stays_up,                  // no process exits by itself
+    last                       // number of promises; also stands for no promise
 };
 
 char const* to_text(promise value);
@@ -61,6 +62,7 @@
     duration settling_time = 4s;  // without disturbance, before limits apply
     duration leaving_limit = 3s;  // until a leaving back end gets no connection
     duration routes_limit = 3s;   // until a stored version is in force
+    duration evacuation_limit = 3s;    // until an evacuation is in force
     duration version_overlap = 250ms;  // of two versions at one entry
     duration misrouted_limit = 2s;     // span of consecutive misrouted packets
     duration recovery_limit = 12s;     // after all processes were killed
@@ -76,7 +78,8 @@
 enum class disturbance : std::uint8_t
 {
     planned,
-    unplanned
+    unplanned,
+    store_refused  // unplanned, but the entry still reaches its peers
 };
 
 class disturbance_record
@@ -94,14 +97,22 @@
     bool is_undisturbed(std::size_t machine, time_point at) const;
     // Like is_undisturbed, but ignores planned disturbances.
     bool is_free_of_faults(std::size_t machine, time_point at) const;
+    // Like is_undisturbed, but ignores that the store refused the calls of this
+    // entry.
+    bool is_in_contact(std::size_t machine, time_point at) const;
     bool is_store_undisturbed(time_point at) const;
 
 private:
+    using until_times = std::map<std::size_t, time_point>;
+
     bool has_settled(time_point until, time_point at) const;
+    bool has_settled(until_times const& times, std::size_t machine,
+                     time_point at) const;
 
     duration settling_time;
-    std::map<std::size_t, time_point> planned_until = {};
-    std::map<std::size_t, time_point> unplanned_until = {};
+    until_times planned_until = {};
+    until_times unplanned_until = {};
+    until_times store_refused_until = {};
     time_point store_disturbed_until = {};
 };
 
@@ -174,10 +185,13 @@
     // and back ends that it simulates.
     void on_stall(std::size_t machine_count, time_point now);
     void on_routes_stored(route_version version);
+    void on_evacuation_stored(std::string const& data_centre, time_point at);
+    void on_evacuation_removed(std::string const& data_centre);
 
     // -- back ends
     void on_back_end_started(back_end_incarnation incarnation,
-                             std::size_t machine, std::string const& service);
+                             std::size_t machine, std::string const& service,
+                             std::string const& data_centre);
     void on_back_end_leaving(back_end_incarnation incarnation,
                              time_point stored_at);
     void on_back_end_ended(back_end_incarnation incarnation);
@@ -221,6 +235,7 @@
     {
         std::size_t machine = 0;
         std::string service = {};
+        std::string data_centre = {};
         std::optional<time_point> leaving_at = {};
         bool is_alive = true;
         auto operator<=>(back_end_record const&) const = default;
@@ -264,6 +279,11 @@
     void check_leaving(connection_endpoints const& endpoints,
                        connection_record const& connection,
                        back_end_record const& back_end, time_point at);
+    void check_evacuation(connection_endpoints const& endpoints,
+                          connection_record const& connection,
+                          back_end_record const& back_end, time_point at);
+    // Whether the entry reached the store or a peer that did.
+    bool can_read_changes(std::size_t entry, time_point at) const;
     bool are_entries_undisturbed(connection_record const& connection,
                                  time_point at) const;
     // Returns the running back end of an open connection, else null.
@@ -273,6 +293,8 @@
     promise_bounds bounds;
     disturbance_record disturbances;
     route_history routes = {};
+    std::map<std::string, time_point> evacuated_since = {};  // by data centre
+    std::set<std::size_t> known_entries = {};  // that callers sent packets to
     std::map<back_end_incarnation, back_end_record> back_ends = {};
     std::map<connection_endpoints, connection_record> connections = {};
     std::map<std::size_t, entry_record> entries = {};
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -255,6 +255,7 @@
     static constexpr duration crash_unlist_delay = 3600ms;
     static constexpr duration leaving_time = 4s;
     static constexpr duration broken_leaving_time = 20s;  // to be detected
+    static constexpr double min_share_of_two_evacuations = 0.15;
     static constexpr duration probe_interval = 500ms;
     static constexpr std::uint32_t max_missed_probes = 2;
     static constexpr std::size_t caller_count = 8;
@@ -471,7 +472,8 @@
             machine == this->network.entries &&
             this->is_broken_on_purpose(promise::right_service);
         this->checker.on_back_end_started(
-            incarnation, machine, is_misreported ? "another" : node.service);
+            incarnation, machine, is_misreported ? "another" : node.service,
+            fleet_addresses::get_data_centre(machine));
         this->publish(machine, target_state::serving);
     }
 
@@ -480,7 +482,7 @@
         back_end_node const& node = this->back_ends.at(machine);
         published_target target{.service = node.service,
                                 .data_centre =
-                                    "zg-" + std::to_string(machine % 2),
+                                    fleet_addresses::get_data_centre(machine),
                                 .address = {this->network.get_proxy_ip(machine),
                                             fleet_ports::back_end},
                                 .slots = back_end_settings{}.slots,
@@ -511,13 +513,17 @@
             this->links.start_fault(spec, now);
         } else if (faulty_store<Store>::is_store_fault(spec.kind)) {
             if (spec.kind == fault_kind::store_refuses)
-                this->checker.record_disturbance(spec.machine,
-                                                 disturbance::unplanned, until);
+                this->checker.record_disturbance(
+                    spec.machine, disturbance::store_refused, until);
             else if (spec.kind != fault_kind::store_forgets)
                 this->checker.record_store_disturbance(until);
             this->store.start_fault(spec, now);
         } else if (spec.kind == fault_kind::change_routes) {
             this->change_routes(1 + spec.machine % 5);
+        } else if (spec.kind == fault_kind::evacuate) {
+            this->evacuate(spec.machine, spec.span);
+            if (spec.share >= min_share_of_two_evacuations)
+                this->evacuate(spec.machine + 1, spec.span);
         } else if (spec.kind == fault_kind::kill_all) {
             this->kill_all(spec.share > 0);
         } else if (spec.kind == fault_kind::crash_back_end) {
@@ -660,6 +666,23 @@
         this->is_kept_down = this->is_broken_on_purpose(promise::back_in_time);
     }
 
+    // Evacuates the data centre of a machine. Evacuations overlap; the key is
+    // removed with the last one.
+    void evacuate(std::size_t machine, duration span)
+    {
+        std::string const name = fleet_addresses::get_data_centre(machine);
+        ++this->evacuations[name];
+        if (!this->is_broken_on_purpose(promise::evacuated_admits_nothing))
+            this->store.documents.put_evacuation(name);
+        this->checker.on_evacuation_stored(name, read_clock());
+        this->schedule(span, [this, name] {
+            if (--this->evacuations[name] > 0)
+                return;
+            this->store.documents.remove_evacuation(name);
+            this->checker.on_evacuation_removed(name);
+        });
+    }
+
     void change_routes(std::size_t count)
     {
         constexpr duration gap = 150ms;  // several versions within a second
@@ -730,6 +753,8 @@
         }
         if (this->is_broken_on_purpose(promise::leaving_admits_nothing))
             this->replace_target(target);
+        if (this->is_broken_on_purpose(promise::evacuated_admits_nothing))
+            this->evacuate(target, broken_leaving_time);
         if (this->is_broken_on_purpose(promise::back_in_time))
             this->kill_all(false);
         if (this->is_broken_on_purpose(promise::routes_in_force))
@@ -909,6 +934,7 @@
     child_processes children = {};
     std::map<std::size_t, back_end_node> back_ends = {};  // by machine index
     std::vector<entry_node> entries = {};
+    std::map<std::string, std::size_t> evacuations = {};  // by data centre
     std::map<exchange_id, waiting_call> waiting_calls = {};
     std::priority_queue<timed_task> tasks = {};
     std::uint64_t last_task_order = 0;
--- a/tests/soak/stories/promises_story.cpp
+++ b/tests/soak/stories/promises_story.cpp
@@ -32,9 +32,9 @@
     void setup() override
     {
         this->checker.on_back_end_started(this->first_back_end, target,
-                                          "archive");
+                                          "archive", "north");
         this->checker.on_back_end_started(this->second_back_end, next_target,
-                                          "members");
+                                          "members", "south");
         this->store_route("archive", this->start);
     }
 
@@ -314,6 +314,93 @@
     this->expect_no_broken_promise();
 }
 
+// ---- evacuation ---------------------------------------------------------
+
+namespace {
+
+// The data centre of the first back end is evacuated; a packet through the
+// other entry has made that entry known.
+struct an_evacuated_data_centre : a_promise_checker
+{
+    time_point evacuated_at = this->start + 20s;
+
+    void setup() override
+    {
+        a_promise_checker::setup();
+        this->open_connection(this->make_endpoints(1999), this->first_back_end,
+                              this->start + 1s, other_entry);
+        this->checker.on_evacuation_stored("north", this->evacuated_at);
+    }
+
+    void open_late(std::uint16_t port = 2001)
+    {
+        this->open_connection(this->make_endpoints(port), this->first_back_end,
+                              this->evacuated_at + 3100ms);
+    }
+};
+
+}  // namespace
+
+SECTION(an_evacuated_data_centre_of_the_soak, an_evacuated_data_centre){};
+
+TEST(an_evacuated_data_centre_of_the_soak, must_get_nothing_new_after_the_limit)
+{
+    this->open_connection(this->endpoints, this->first_back_end,
+                          this->evacuated_at + 2900ms);
+    this->expect_no_broken_promise();
+    this->open_late();
+    this->expect_broken(promise::evacuated_admits_nothing);
+}
+
+TEST(an_evacuated_data_centre_of_the_soak, may_get_connections_after_its_end)
+{
+    this->checker.on_evacuation_removed("north");
+    this->open_late();
+    this->expect_no_broken_promise();
+}
+
+TEST(an_evacuated_data_centre_of_the_soak, leaves_the_others_in_use)
+{
+    this->checker.on_evacuation_removed("north");
+    this->checker.on_evacuation_stored("south", this->evacuated_at);
+    this->open_late();
+    this->expect_no_broken_promise();
+}
+
+TEST(an_evacuated_data_centre_of_the_soak, is_excused_while_the_store_fails)
+{
+    this->checker.record_store_disturbance(this->evacuated_at + 1s);
+    this->open_late();
+    this->expect_no_broken_promise();
+}
+
+TEST(an_evacuated_data_centre_of_the_soak, is_excused_for_a_frozen_entry)
+{
+    this->checker.record_disturbance(entry, disturbance::unplanned,
+                                     this->evacuated_at + 1s);
+    this->open_late();
+    this->expect_no_broken_promise();
+}
+
+// Guards against excusing an entry that its peers must tell.
+TEST(an_evacuated_data_centre_of_the_soak, is_known_from_peers)
+{
+    this->checker.record_disturbance(entry, disturbance::store_refused,
+                                     this->evacuated_at + 1s);
+    this->open_late();
+    this->expect_broken(promise::evacuated_admits_nothing);
+}
+
+TEST(an_evacuated_data_centre_of_the_soak, is_unknown_without_store_and_peers)
+{
+    this->checker.record_disturbance(entry, disturbance::store_refused,
+                                     this->evacuated_at + 1s);
+    this->checker.record_disturbance(other_entry, disturbance::unplanned,
+                                     this->evacuated_at + 1s);
+    this->open_late();
+    this->expect_no_broken_promise();
+}
+
 // ---- routes -------------------------------------------------------------
 
 namespace {
