Return the store of the fault soak to an older copy

The new fault store_returns_older goes back to the copy from its begin, raises the era and repeats the lost writes half a second later. All writes of the soak to its store can be repeated for that. The existing promises judge what follows; routes_never_back holds during the gap too.

Cold back ends are not part of this change: their limit isn't judged yet.

--- a/tests/soak/faulty_store.hpp
+++ b/tests/soak/faulty_store.hpp
@@ -12,6 +12,7 @@
 #include "plan.hpp"
 
 #include <concepts>
+#include <functional>
 #include <map>
 #include <optional>
 
@@ -31,6 +32,7 @@
         store.answer(call, may_wait)
         } -> std::same_as<std::optional<http_reply>>;
     store.forget_history();
+    store.revert_to(store);
     store.put_evacuation(std::string{});
     store.remove_evacuation(std::string{});
     store.put_odd_target(S::odd_kinds - 1, target);
@@ -57,9 +59,42 @@
 template <document_store Store> class faulty_store
 {
 public:
+    using store_write = std::function<void(Store&)>;
+
     explicit faulty_store(std::uint64_t seed) : random(seed) {}
 
-    Store documents = {};
+    // All writes of the operator and the back ends, so that those that the
+    // store loses can be written again.
+    void write(store_write const& action)
+    {
+        action(this->documents);
+        if (this->older_copy)
+            this->lost_writes.push_back(action);
+    }
+
+    // Returns false if a copy is kept already.
+    bool keep_copy()
+    {
+        if (this->older_copy)
+            return false;
+        this->older_copy = this->documents;
+        return true;
+    }
+
+    // Returns to the copy, in a later era.
+    void revert_to_copy()
+    {
+        this->documents.revert_to(*this->older_copy);
+    }
+
+    // Repeats all writes since the copy was kept, in their order.
+    void write_lost()
+    {
+        for (store_write const& action : this->lost_writes)
+            action(this->documents);
+        this->lost_writes.clear();
+        this->older_copy.reset();
+    }
 
     static bool is_store_fault(fault_kind kind)
     {
@@ -140,6 +175,9 @@
     }
 
     seeded_random random;
+    Store documents = {};
+    std::optional<Store> older_copy = {};
+    std::vector<store_write> lost_writes = {};  // since the copy
     Store stale = {};
     std::vector<active_fault> active = {};
 };
--- a/tests/soak/plan.cpp
+++ b/tests/soak/plan.cpp
@@ -41,6 +41,7 @@
             {"store_stale", false, true, false, 1},
             {"store_refuses", false, true, false, 2},
             {"store_forgets", false, true, false, 2},
+            {"store_returns_older", false, true, false, 2},
             {"change_routes", true, true, false, 3},
             {"evacuate", true, true, false, 3},
             {"kill_all", false, true, false, 0}}};
--- a/tests/soak/plan.hpp
+++ b/tests/soak/plan.hpp
@@ -50,6 +50,9 @@
     store_stale,    // answers with the state at the start of the fault
     store_refuses,  // fails for one entry only
     store_forgets,  // discards its change history
+    // Ends with a return to the copy from the start of the fault; what was
+    // written in between is lost until it is written again.
+    store_returns_older,
     // Faults of the whole system.
     change_routes,  // stores 1 + machine % 5 versions in a row
     evacuate,       // one data centre, or two if the share is 0.15 or more
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -255,6 +255,7 @@
     static constexpr duration crash_unlist_delay = 3600ms;
     static constexpr duration leaving_time = 4s;
     static constexpr duration broken_leaving_time = 20s;  // to be detected
+    static constexpr duration rewrite_delay = 500ms;
     static constexpr double min_share_of_two_evacuations = 0.15;
     static constexpr duration probe_interval = 500ms;
     static constexpr std::uint32_t max_missed_probes = 2;
@@ -488,10 +489,19 @@
                                 .slots = back_end_settings{}.slots,
                                 .incarnation = node.back_end->incarnation.value,
                                 .state = state};
-        this->store.documents.put_target(this->make_target_key(machine),
+        this->store.write(
+            [key = this->make_target_key(machine), target](Store& documents) {
+                documents.put_target(key, target);
+                documents.put_odd_target(target.incarnation % Store::odd_kinds,
                                          target);
-        this->store.documents.put_odd_target(
-            target.incarnation % Store::odd_kinds, target);
+            });
+    }
+
+    void remove_target(std::string const& key)
+    {
+        this->store.write([key](Store& documents) {
+            documents.remove_target(key);
+        });
     }
 
     void end_back_end(std::size_t machine)
@@ -520,6 +530,8 @@
             this->store.start_fault(spec, now);
         } else if (spec.kind == fault_kind::change_routes) {
             this->change_routes(1 + spec.machine % 5);
+        } else if (spec.kind == fault_kind::store_returns_older) {
+            this->return_older_store(spec.span);
         } else if (spec.kind == fault_kind::evacuate) {
             this->evacuate(spec.machine, spec.span);
             if (spec.share >= min_share_of_two_evacuations)
@@ -599,7 +611,7 @@
             this->start_back_end(machine);
         });
         this->schedule(crash_unlist_delay, [this, key] {
-            this->store.documents.remove_target(key);
+            this->remove_target(key);
         });
     }
 
@@ -623,7 +635,7 @@
         this->schedule(time_to_end, [this, machine] {
             std::string const key = this->make_target_key(machine);
             this->end_back_end(machine);
-            this->store.documents.remove_target(key);
+            this->remove_target(key);
             if (this->children.is_running(machine))
                 this->children.request_stop(machine, read_clock());
             else
@@ -666,6 +678,22 @@
         this->is_kept_down = this->is_broken_on_purpose(promise::back_in_time);
     }
 
+    // The store counts as disturbed from its return until everything is written
+    // again.
+    void return_older_store(duration span)
+    {
+        if (!this->store.keep_copy())
+            return;
+        this->schedule(span, [this] {
+            this->store.revert_to_copy();
+            this->checker.record_store_disturbance(read_clock() +
+                                                   rewrite_delay);
+            this->schedule(rewrite_delay, [this] {
+                this->store.write_lost();
+            });
+        });
+    }
+
     // Evacuates the data centre of a machine. Evacuations overlap; the key is
     // removed with the last one.
     void evacuate(std::size_t machine, duration span)
@@ -673,12 +701,16 @@
         std::string const name = fleet_addresses::get_data_centre(machine);
         ++this->evacuations[name];
         if (!this->is_broken_on_purpose(promise::evacuated_admits_nothing))
-            this->store.documents.put_evacuation(name);
+            this->store.write([name](Store& documents) {
+                documents.put_evacuation(name);
+            });
         this->checker.on_evacuation_stored(name, read_clock());
         this->schedule(span, [this, name] {
             if (--this->evacuations[name] > 0)
                 return;
-            this->store.documents.remove_evacuation(name);
+            this->store.write([name](Store& documents) {
+                documents.remove_evacuation(name);
+            });
             this->checker.on_evacuation_removed(name);
         });
     }
@@ -730,7 +762,10 @@
             this->routes_version > 1 &&
             this->is_broken_on_purpose(promise::routes_in_force);
         if (!is_hidden)
-            this->store.documents.put_routes(published, this->services);
+            this->store.write(
+                [published, names = this->services](Store& documents) {
+                    documents.put_routes(published, names);
+                });
         if (this->routes_version < 3 ||
             !this->is_broken_on_purpose(promise::routes_never_back))
             this->checker.on_routes_stored(checked);
--- a/tests/soak/stories/promises_story.cpp
+++ b/tests/soak/stories/promises_story.cpp
@@ -4,6 +4,8 @@
 #include "back_ends.hpp"
 #include "callers.hpp"
 #include "fake_packets.hpp"
+#include "fake_store.hpp"
+#include "faulty_store.hpp"
 #include "plan.hpp"
 #include "promises.hpp"
 #include "stories/story.hpp"
@@ -314,6 +316,51 @@
     this->expect_no_broken_promise();
 }
 
+// ---- the store ----------------------------------------------------------
+
+namespace {
+
+struct a_store_with_faults : Utest
+{
+    faulty_store<platform::fake_store> store{7};
+
+    void put_evacuation(std::string const& name)
+    {
+        this->store.write([name](platform::fake_store& documents) {
+            documents.put_evacuation(name);
+        });
+    }
+
+    http_reply read() const
+    {
+        faulty_store<platform::fake_store> copy = this->store;
+        return copy
+            .answer({.method = "GET", .path = "/kv-range"}, 0, time_point{1s},
+                    time_point{1s})
+            .reply;
+    }
+};
+
+}  // namespace
+
+SECTION(a_store_that_returns_older, a_store_with_faults){};
+
+// Guards against a fault that loses nothing, or loses it for good.
+TEST(a_store_that_returns_older, loses_writes_until_they_are_repeated)
+{
+    CHECK(this->store.keep_copy());
+    CHECK(!this->store.keep_copy());
+    this->put_evacuation("north");
+    this->store.revert_to_copy();
+    this->put_evacuation("south");
+    CHECK(this->read().body.find("evacuate/north") == std::string::npos);
+    STRCMP_EQUAL("1", this->read().header.value.c_str());
+    this->store.write_lost();
+    CHECK(this->read().body.find("evacuate/north") != std::string::npos);
+    CHECK(this->read().body.find("evacuate/south") != std::string::npos);
+    CHECK(this->store.keep_copy());
+}
+
 // ---- evacuation ---------------------------------------------------------
 
 namespace {
