--- a/tests/soak/plan.hpp
+++ b/tests/soak/plan.hpp
@@ -50,8 +50,12 @@
     store_stale,    // answers with the state at the start of the fault
     store_refuses,  // fails for one entry only
     store_forgets,  // discards its change history
+    // Ends with a return to the copy from the start of the fault; what was
+    // written in between is lost until it is written again.
+    store_returns_older,
     // Faults of the whole system.
     change_routes,  // stores 1 + machine % 5 versions in a row
+    evacuate,       // one data centre, or two if the share is 0.15 or more
     kill_all,       // restarts all processes; if share > 0, also back ends
     last            // number of kinds; not a fault
 };
@@ -71,7 +75,7 @@
     fault_kind kind = fault_kind::freeze;
     std::size_t machine = 0;  // index; entries come before targets
     // 0 to 1: the share of datagrams that a link fault affects; selects a
-    // variant of kill_all and of store_refuses.
+    // variant of kill_all, of store_refuses and of evacuate.
     double share = 0;
     auto operator<=>(fault const&) const = default;
 };
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -255,6 +255,8 @@
     static constexpr duration crash_unlist_delay = 3600ms;
     static constexpr duration leaving_time = 4s;
     static constexpr duration broken_leaving_time = 20s;  // to be detected
+    static constexpr duration rewrite_delay = 500ms;
+    static constexpr double min_share_of_two_evacuations = 0.15;
     static constexpr duration probe_interval = 500ms;
     static constexpr std::uint32_t max_missed_probes = 2;
     static constexpr std::size_t caller_count = 8;
@@ -471,7 +473,8 @@
             machine == this->network.entries &&
             this->is_broken_on_purpose(promise::right_service);
         this->checker.on_back_end_started(
-            incarnation, machine, is_misreported ? "another" : node.service);
+            incarnation, machine, is_misreported ? "another" : node.service,
+            fleet_addresses::get_data_centre(machine));
         this->publish(machine, target_state::serving);
     }
 
@@ -480,16 +483,25 @@
         back_end_node const& node = this->back_ends.at(machine);
         published_target target{.service = node.service,
                                 .data_centre =
-                                    "zg-" + std::to_string(machine % 2),
+                                    fleet_addresses::get_data_centre(machine),
                                 .address = {this->network.get_proxy_ip(machine),
                                             fleet_ports::back_end},
                                 .slots = back_end_settings{}.slots,
                                 .incarnation = node.back_end->incarnation.value,
                                 .state = state};
-        this->store.documents.put_target(this->make_target_key(machine),
+        this->store.write(
+            [key = this->make_target_key(machine), target](Store& documents) {
+                documents.put_target(key, target);
+                documents.put_odd_target(target.incarnation % Store::odd_kinds,
                                          target);
-        this->store.documents.put_odd_target(
-            target.incarnation % Store::odd_kinds, target);
+            });
+    }
+
+    void remove_target(std::string const& key)
+    {
+        this->store.write([key](Store& documents) {
+            documents.remove_target(key);
+        });
     }
 
     void end_back_end(std::size_t machine)
@@ -511,13 +523,19 @@
             this->links.start_fault(spec, now);
         } else if (faulty_store<Store>::is_store_fault(spec.kind)) {
             if (spec.kind == fault_kind::store_refuses)
-                this->checker.record_disturbance(spec.machine,
-                                                 disturbance::unplanned, until);
+                this->checker.record_disturbance(
+                    spec.machine, disturbance::store_refused, until);
             else if (spec.kind != fault_kind::store_forgets)
                 this->checker.record_store_disturbance(until);
             this->store.start_fault(spec, now);
         } else if (spec.kind == fault_kind::change_routes) {
             this->change_routes(1 + spec.machine % 5);
+        } else if (spec.kind == fault_kind::store_returns_older) {
+            this->return_older_store(spec.span);
+        } else if (spec.kind == fault_kind::evacuate) {
+            this->evacuate(spec.machine, spec.span);
+            if (spec.share >= min_share_of_two_evacuations)
+                this->evacuate(spec.machine + 1, spec.span);
         } else if (spec.kind == fault_kind::kill_all) {
             this->kill_all(spec.share > 0);
         } else if (spec.kind == fault_kind::crash_back_end) {
@@ -593,7 +611,7 @@
             this->start_back_end(machine);
         });
         this->schedule(crash_unlist_delay, [this, key] {
-            this->store.documents.remove_target(key);
+            this->remove_target(key);
         });
     }
 
@@ -617,7 +635,7 @@
         this->schedule(time_to_end, [this, machine] {
             std::string const key = this->make_target_key(machine);
             this->end_back_end(machine);
-            this->store.documents.remove_target(key);
+            this->remove_target(key);
             if (this->children.is_running(machine))
                 this->children.request_stop(machine, read_clock());
             else
@@ -660,6 +678,43 @@
         this->is_kept_down = this->is_broken_on_purpose(promise::back_in_time);
     }
 
+    // The store counts as disturbed from its return until everything is written
+    // again.
+    void return_older_store(duration span)
+    {
+        if (!this->store.keep_copy())
+            return;
+        this->schedule(span, [this] {
+            this->store.revert_to_copy();
+            this->checker.record_store_disturbance(read_clock() +
+                                                   rewrite_delay);
+            this->schedule(rewrite_delay, [this] {
+                this->store.write_lost();
+            });
+        });
+    }
+
+    // Evacuates the data centre of a machine. Evacuations overlap; the key is
+    // removed with the last one.
+    void evacuate(std::size_t machine, duration span)
+    {
+        std::string const name = fleet_addresses::get_data_centre(machine);
+        ++this->evacuations[name];
+        if (!this->is_broken_on_purpose(promise::evacuated_admits_nothing))
+            this->store.write([name](Store& documents) {
+                documents.put_evacuation(name);
+            });
+        this->checker.on_evacuation_stored(name, read_clock());
+        this->schedule(span, [this, name] {
+            if (--this->evacuations[name] > 0)
+                return;
+            this->store.write([name](Store& documents) {
+                documents.remove_evacuation(name);
+            });
+            this->checker.on_evacuation_removed(name);
+        });
+    }
+
     void change_routes(std::size_t count)
     {
         constexpr duration gap = 150ms;  // several versions within a second
@@ -707,7 +762,10 @@
             this->routes_version > 1 &&
             this->is_broken_on_purpose(promise::routes_in_force);
         if (!is_hidden)
-            this->store.documents.put_routes(published, this->services);
+            this->store.write(
+                [published, names = this->services](Store& documents) {
+                    documents.put_routes(published, names);
+                });
         if (this->routes_version < 3 ||
             !this->is_broken_on_purpose(promise::routes_never_back))
             this->checker.on_routes_stored(checked);
@@ -730,6 +788,8 @@
         }
         if (this->is_broken_on_purpose(promise::leaving_admits_nothing))
             this->replace_target(target);
+        if (this->is_broken_on_purpose(promise::evacuated_admits_nothing))
+            this->evacuate(target, broken_leaving_time);
         if (this->is_broken_on_purpose(promise::back_in_time))
             this->kill_all(false);
         if (this->is_broken_on_purpose(promise::routes_in_force))
@@ -909,6 +969,7 @@
     child_processes children = {};
     std::map<std::size_t, back_end_node> back_ends = {};  // by machine index
     std::vector<entry_node> entries = {};
+    std::map<std::string, std::size_t> evacuations = {};  // by data centre
     std::map<exchange_id, waiting_call> waiting_calls = {};
     std::priority_queue<timed_task> tasks = {};
     std::uint64_t last_task_order = 0;
