Open no reused port at a leaving target

An entry that had cached the owner of an earlier connection from the same port took the opening packet for a copy, and offered it to that owner and then along a ranking that holds leaving targets too.

Change: a target that gets no new connections gets only copies of the packet that it accepted, and the other candidates are those of a new connection. Story: opens_no_reused_port_at_a_leaving_target.

--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -241,18 +241,15 @@
         this->hold(effects, packet, times, now);
         return;
     }
-    bool const is_retransmission =
-        owner && owner->target != returned_by &&
-        detail::accepts_copy(*owner, packet, *part, this->config, now);
-    // A retransmission goes to the target that accepted the first packet, even
-    // if that target is leaving.
-    std::vector<target_record const*> ranked =
-        is_retransmission
-            ? rank_owners(*part, make_flow_key(packet.endpoints))
-            : this->select_candidates(*part, *route, packet.endpoints,
-                                      returned_by, now);
-    if (is_retransmission)
-        detail::exclude_evacuated(ranked, this->config, owner->target);
+    // A retransmission goes first to the target that accepted the first packet.
+    target_record const* const copy_owner =
+        owner && owner->target != returned_by
+            ? detail::find_copy_owner(*part, *owner, packet, this->config, now)
+            : nullptr;
+    std::vector<target_record const*> ranked = this->select_candidates(
+        *part, *route, packet.endpoints, returned_by, now);
+    if (copy_owner != nullptr)
+        detail::put_first(ranked, copy_owner);
     // A copy may belong to a connection that was opened through another entry,
     // so it is not reset.
     bool const is_refused = ranked.empty() &&
@@ -273,10 +270,7 @@
                                                               : 0,
              this->settings.prefer_home_data_centre &&
                  target->data_centre != this->settings.membership.data_centre});
-    detail::move_candidates(targets,
-                            is_retransmission ? std::optional{owner->target}
-                                              : std::nullopt,
-                            returned_by);
+    detail::move_candidates(targets, std::nullopt, returned_by);
     request_attributes const attributes{.route = route->address,
                                         .objective = route->objective,
                                         .deadline = route->deadline,
@@ -288,7 +282,7 @@
                           {packet,
                            attributes,
                            std::move(targets),
-                           is_retransmission,
+                           copy_owner != nullptr,
                            times.arrived_at,
                            times.requested_at,
                            {}},
--- a/src/entry/evacuation_rules.hpp
+++ b/src/entry/evacuation_rules.hpp
@@ -1,9 +1,10 @@
-// Effect of evacuated data centres on the placement of opening packets.
+// Effect of evacuated data centres and leaving targets on the placement of
+// opening packets.
 //
 // Index
-//   is_unavailable      whether evacuations leave a service without a target
-//   accepts_copy        whether an owner may get another opening packet
-//   exclude_evacuated   removes the targets that must not get an opening packet
+//   is_unavailable    whether evacuations leave a service without a target
+//   find_copy_owner   the target that has an earlier copy of the packet
+//   put_first         makes a target the first candidate
 #pragma once
 
 #include "catalog/catalog.hpp"
@@ -32,43 +33,42 @@
     return has_evacuated;
 }
 
-// ---- accepts_copy -------------------------------------------------------
+// ---- find_copy_owner ----------------------------------------------------
 
 // Callers send the last copy of an opening packet 600 ms after the first one. A
 // later one opens another connection from the same port.
 constexpr duration max_copy_delay = std::chrono::milliseconds{1000};
 
-// Returns whether an opening packet of a connection with this owner may go to
-// the owner. In an evacuated data centre the owner gets only copies of the
-// packet that it accepted.
-inline bool accepts_copy(owner_record const& owner,
-                         connection_packet const& packet,
-                         service_part const& part, catalog const& current,
-                         time_point now)
+// Returns the target that accepted the connection of an opening packet, if it
+// may get this one too. A target that gets no new connections gets only copies
+// of the packet that it accepted.
+inline target_record const* find_copy_owner(service_part const& part,
+                                            owner_record const& owner,
+                                            connection_packet const& packet,
+                                            catalog const& current,
+                                            time_point now)
 {
-    bool const is_evacuated =
-        std::any_of(part.targets.begin(), part.targets.end(),
-                    [&](target_record const& target) {
-                        return target.address == owner.target &&
-                               current.is_evacuated(target.data_centre);
-                    });
+    auto const found = std::find_if(part.targets.begin(), part.targets.end(),
+                                    [&owner](target_record const& target) {
+                                        return target.address == owner.target;
+                                    });
+    if (found == part.targets.end())
+        return nullptr;
+    bool const is_open = found->state != target_state::leaving &&
+                         !current.is_evacuated(found->data_centre);
     bool const is_copy = packet.retransmission_count > 0 &&
                          !owner.is_finished &&
                          now - owner.arrived_at <= max_copy_delay;
-    return !is_evacuated || is_copy;
+    return is_open || is_copy ? &*found : nullptr;
 }
 
-// ---- exclude_evacuated --------------------------------------------------
+// ---- put_first ----------------------------------------------------------
 
-// Removes the targets in evacuated data centres, except the owner of the
-// connection.
-inline void exclude_evacuated(std::vector<target_record const*>& targets,
-                              catalog const& current, peer_address owner)
+inline void put_first(std::vector<target_record const*>& candidates,
+                      target_record const* first)
 {
-    std::erase_if(targets, [&](target_record const* target) {
-        return target->address != owner &&
-               current.is_evacuated(target->data_centre);
-    });
+    std::erase(candidates, first);
+    candidates.insert(candidates.begin(), first);
 }
 
 }  // namespace lagoon::detail
--- a/tests/stories/cold_back_end_story.cpp
+++ b/tests/stories/cold_back_end_story.cpp
@@ -317,8 +317,7 @@
     time_point const start = this->fleet.now();
     this->fleet.add_load(this->kind, 300, 1s, 4);
     this->fleet.run_for(1500ms);
-    std::size_t const largest =
-        this->fleet.max_accepted_within(0, 1s, start);
+    std::size_t const largest = this->fleet.max_accepted_within(0, 1s, start);
     CHECK(largest > 0);
     CHECK(largest <= limit);
 }
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -1117,6 +1117,28 @@
     CHECK(!this->has_offer_to(first));
 }
 
+// Guards against new connections that reach a leaving target after its time
+// limit, because the owner of an earlier one from the same port is cached.
+TEST(an_entry_during_an_evacuation, opens_no_reused_port_at_a_leaving_target)
+{
+    this->evacuate({"zg-b"});
+    std::uint16_t const port = this->open_at_first();
+    target_record leaving = make_serving_target(first, "zg-a");
+    leaving.state = target_state::leaving;
+    this->evacuated = {};
+    this->publish({make_route(members_route, "members"),
+                   make_route(archive_route, "archive")},
+                  {leaving, make_serving_target(second, "zg-b")});
+    this->send_copy(port);
+    CHECK(this->has_offer_to(first));
+    this->answer(this->get_last_offer(), offer_verdict::taken);
+    for (int i = 0; i < 15; ++i)
+        this->feed(clock_tick{}, 100ms);
+    this->open(port);
+    CHECK(!this->has_offer_to(first));
+    CHECK(this->has_offer_to(second));
+}
+
 TEST(an_entry_during_an_evacuation, forwards_packets_of_open_connections)
 {
     std::uint16_t const port = this->open_at_first();
