--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -266,10 +266,13 @@
     for (target_record const* target : ranked)
         targets.push_back(
             {target->address, target->slots, *service, false,
-             detail::is_cold(*target, *service, this->config) ? warm_up_rate
-                                                              : 0,
+             warm_up_rate > 0 &&
+                     detail::is_cold(*target, *service, this->config)
+                 ? warm_up_rate
+                 : 0,
              this->settings.prefer_home_data_centre &&
-                 target->data_centre != this->settings.membership.data_centre});
+                 target->data_centre != this->settings.membership.data_centre,
+             detail::is_closed(*target, this->config)});
     detail::move_candidates(targets, std::nullopt, returned_by);
     request_attributes const attributes{.route = route->address,
                                         .objective = route->objective,
@@ -552,7 +555,8 @@
         this->forward(effects, *owner, packet, now);
     else if (!packet.is_opening)
         this->resume_search(effects, packet, event.from, now);
-    else if (now - times.arrived_at < this->settings.max_hold_time)
+    else if (event.answer.verdict == offer_verdict::leaving ||
+             now - times.arrived_at < this->settings.max_hold_time)
         this->place(effects, packet, times, event.from, now);
 }
 
--- a/src/entry/evacuation_rules.hpp
+++ b/src/entry/evacuation_rules.hpp
@@ -3,6 +3,7 @@
 //
 // Index
 //   is_unavailable    whether evacuations leave a service without a target
+//   is_closed         whether a target gets no new connections
 //   find_copy_owner   the target that has an earlier copy of the packet
 //   put_first         makes a target the first candidate
 #pragma once
@@ -33,6 +34,15 @@
     return has_evacuated;
 }
 
+// ---- is_closed ----------------------------------------------------------
+
+// Returns whether the target gets no new connections.
+inline bool is_closed(target_record const& target, catalog const& current)
+{
+    return target.state == target_state::leaving ||
+           current.is_evacuated(target.data_centre);
+}
+
 // ---- find_copy_owner ----------------------------------------------------
 
 // Callers send the last copy of an opening packet 600 ms after the first one. A
@@ -54,12 +64,11 @@
                                     });
     if (found == part.targets.end())
         return nullptr;
-    bool const is_open = found->state != target_state::leaving &&
-                         !current.is_evacuated(found->data_centre);
+    bool const is_open = !is_closed(*found, current);
     bool const is_copy = packet.retransmission_count > 0 &&
                          !owner.is_finished &&
                          now - owner.arrived_at <= max_copy_delay;
-    return is_open || is_copy ? &*found : nullptr;
+    return is_copy || (is_open && !owner.is_finished) ? &*found : nullptr;
 }
 
 // ---- put_first ----------------------------------------------------------
--- a/src/entry/lost_connections.ipp
+++ b/src/entry/lost_connections.ipp
@@ -38,7 +38,8 @@
     this->locator.add(packet, now);
     // Advancing visits all pending connections, which is too much for each
     // packet of a caller.
-    if (this->locator.next_due() <= now)
+    std::optional<time_point> const due = this->locator.next_due();
+    if (due && *due <= now)
         this->advance_locator(effects, now);
 }
 
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -10,8 +10,9 @@
 // Denials of earlier rounds are asked for again.
 constexpr std::size_t max_answered_rounds = 16;
 
-// Acknowledgements of one connection are closer than this. Another connection
-// with the same endpoints starts its sequence elsewhere.
+// Acknowledgements of two subsequent packets of a connection are closer than
+// this, as targets assume too. Another connection with the same endpoints starts
+// its sequence elsewhere.
 constexpr std::uint32_t sequence_window = 76'800;  // bytes
 
 bool is_same_connection(connection_packet const& earlier,
@@ -87,10 +88,10 @@
 
 std::optional<time_point> connection_locator::next_due() const
 {
-    if (this->round)
-        return this->round->started_at + this->round_timeout();
     if (this->pending.empty())
         return std::nullopt;
+    if (this->round)
+        return this->round->started_at + this->round_timeout();
     return this->next_round_at;
 }
 
@@ -216,8 +217,8 @@
                                std::size_t position, bool is_list_covered)
 {
     auto const found = this->pending.find(endpoints);
-    // The endpoints may be used by a connection that the targets were not asked
-    // about.
+    // Otherwise the endpoints are used by a connection that the targets were
+    // not asked about.
     bool const is_asked = found != this->pending.end() &&
                           found->second.arrived_at <= this->round->started_at;
     if (!is_asked)
--- a/src/placement/data_centre_choice.cpp
+++ b/src/placement/data_centre_choice.cpp
@@ -165,7 +165,7 @@
                         to_seconds(elapsed);
     this->current_share = std::clamp(required, this->current_share - fall,
                                      this->current_share + rise);
-    if (this->current_share <= 0)
+    if (this->current_share <= 0 || required >= this->current_share)
         this->is_returning = false;
 }
 
@@ -194,8 +194,8 @@
     if (own == nullptr) {
         // The share applies once home's targets return. After a short absence
         // it is small; after a long one their back ends may be cold.
-        this->is_returning = true;
         this->move_share(this->limits.max_share, elapsed);
+        this->is_returning = true;
         this->gain = lost_home_gain;
         this->current = home_condition::empty;
         return;
@@ -238,7 +238,7 @@
     return is_better ? room : this->limits.min_room_share * room;
 }
 
-// ---- order_by_data_centre -----------------------------------------------
+// ---- split_by_data_centre -----------------------------------------------
 
 ranked_by_data_centre
 split_by_data_centre(std::vector<target_record const*> const& ranked,
--- a/src/placement/data_centre_choice.hpp
+++ b/src/placement/data_centre_choice.hpp
@@ -8,7 +8,8 @@
 //   predict_wait          expected wait of a new connection for a free slot
 //   home_condition        whether connections leave, and why
 //   data_centre_choice    the aggregate, one for each service
-//   order_by_data_centre  the candidates of one connection, in query order
+//   split_by_data_centre  the candidates at home and elsewhere, best first
+//   merge_by_data_centre  the candidates of one connection, in query order
 #pragma once
 
 #include "catalog/catalog.hpp"
@@ -156,7 +157,7 @@
     std::optional<time_point> updated_at = {};
 };
 
-// ---- order_by_data_centre -----------------------------------------------
+// ---- split_by_data_centre -----------------------------------------------
 
 struct ranked_by_data_centre
 {
--- a/src/placement/placer.ipp
+++ b/src/placement/placer.ipp
@@ -281,6 +281,10 @@
         attributes = request.attributes;
         attributes->age = now - request.requested_at;
         attributes->opens_per_second = candidate.target.opens_per_second;
+        // Without a generation, a target in an evacuated data centre takes only
+        // copies, so that it opens no connection that it has forgotten.
+        if (candidate.target.is_closed)
+            attributes->config_generation = {};
     }
     return query_target{candidate.target.address,
                         {record.query, candidate.target.service,
--- a/src/placement/policies.hpp
+++ b/src/placement/policies.hpp
@@ -29,6 +29,7 @@
     bool is_unsure = false;              // replied so earlier in this search
     std::uint32_t opens_per_second = 0;  // limit of a cold back end; 0: none
     bool is_elsewhere = false;  // in another data centre, if that matters
+    bool is_closed = false;     // may get copies of packets that it accepted
     auto operator<=>(placement_candidate const&) const = default;
 };
 
--- a/tests/stories/connection_entry_story.cpp
+++ b/tests/stories/connection_entry_story.cpp
@@ -1092,6 +1092,9 @@
     this->evacuate({"zg-a"});
     this->send_copy(port);
     CHECK(this->has_offer_to(first));
+    // The target refuses it if it has forgotten the first packet.
+    CHECK(this->get_last_offer().offer.attributes->config_generation ==
+          generation{});
 }
 
 // The cached owner of the earlier connection would get a new one.
@@ -1117,6 +1120,19 @@
     CHECK(!this->has_offer_to(first));
 }
 
+// Guards against callers that wait until their deadline: they send no copy of an
+// opening packet later than 600 ms after the first one.
+TEST(an_entry_during_an_evacuation, offers_what_was_queued_there_elsewhere)
+{
+    std::uint16_t const port = this->open_at_first();
+    this->evacuate({"zg-a"});
+    for (int i = 0; i < 8; ++i)
+        this->feed(clock_tick{}, 100ms);
+    this->return_packet(first, offer_verdict::leaving,
+                        make_packet(members_route, port, true));
+    CHECK(this->has_offer_to(second));
+}
+
 // Guards against new connections that reach a leaving target after its time
 // limit, because the owner of an earlier one from the same port is cached.
 TEST(an_entry_during_an_evacuation, opens_no_reused_port_at_a_leaving_target)
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -426,6 +426,15 @@
     CHECK(*this->locator.next_due() > this->now);
 }
 
+// Guards against an event loop that wakes up all the time, because a round is
+// overdue that no connection waits for.
+TEST(locator_without_a_proof, is_not_due_without_connections)
+{
+    this->advance();
+    this->locator.erase(make_packet(port).endpoints);
+    CHECK(!this->locator.next_due());
+}
+
 TEST(locator_without_a_proof, forgets_a_caller_that_is_silent)
 {
     this->list.as_of.reset();
