--- a/tests/soak/stories/promises_story.cpp
+++ b/tests/soak/stories/promises_story.cpp
@@ -345,7 +345,8 @@
 
 SECTION(a_store_that_returns_older, a_store_with_faults){};
 
-// Guards against a fault that loses nothing, or loses it for good.
+// Guards against a fault after which no write is lost, or lost writes are never
+// repeated.
 TEST(a_store_that_returns_older, loses_writes_until_they_are_repeated)
 {
     CHECK(this->store.keep_copy());
--- a/tests/stories/membership_story.cpp
+++ b/tests/stories/membership_story.cpp
@@ -221,7 +221,7 @@
     CHECK(this->member->platform_age(this->now) >= initial_platform_age);
 }
 
-// A store whose reads keep failing must not withdraw readiness for good.
+// A store whose reads keep failing must not withdraw readiness permanently.
 TEST(a_process_whose_store_reverts, is_ready_again_after_a_limited_time)
 {
     for (int i = 0; i < 30; ++i) {
