--- a/review/stand-2/world.cpp
+++ b/review/stand-2/world.cpp
@@ -910,9 +910,13 @@
     ++this->running;
     this->runs.push_back(
         {now(), id, this->settings.service, this->settings.id, key.first});
+    bool const is_long = std::uniform_real_distribution<double>{}(
+                             this->random) < this->settings.tail_share;
+    double const usual = std::min(
+        this->settings.work * (is_long ? this->settings.tail_factor : 1),
+        this->settings.longest_work);
     double const work =
-        this->settings.work *
-        (now() < this->warm_at ? this->settings.cold_factor : 1);
+        usual * (now() < this->warm_at ? this->settings.cold_factor : 1);
     this->events.after(work, [this, key = key, id = id, boot = this->boot] {
         if (boot != this->boot)
             return;
--- a/review/stand-2/world.hpp
+++ b/review/stand-2/world.hpp
@@ -219,6 +219,10 @@
     double work = 0.013;  // seconds
     std::size_t answer_size = 2000;
     double heartbeat = 1.2;
+    // A share of the requests takes longer, up to a limit in seconds.
+    double tail_share = 0;
+    double tail_factor = 1;
+    double longest_work = 1;
     // After a start during traffic the work takes longer for a while.
     double cold_time = 0;  // seconds
     double cold_factor = 1;
