Keep the targets of retired services in the list of targets

Cause: published_catalog left out the targets of services that the configuration doesn't list, since other applications publish such keys too. The same list decides which targets get new connections, where open ones are searched, and which targets have to deny a connection before it counts as lost. For the last one it counted as whole although living targets were missing.

Change: the catalog lists all valid keys, and the routes hold the configured services with their version, in deltas too. target_directory gives out targets for new connections only if their service is configured. Open connections are searched in, and have to be denied by, all services that may own some: those that were configured at some time (service_history), and, after a start, a pause or an outage of the platform, all others until connections from before are too old. A target of another service neither replaces nor hides one of a configured service. A process that is published under several services answers for its own one.

--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -87,6 +87,29 @@
     return sum;
 }
 
+std::uint64_t hash_configured(std::vector<service_id> const& services)
+{
+    constexpr std::uint64_t seed = 4;
+    std::uint64_t sum = 0;
+    for (service_id const id : services)
+        sum += hash_pair(id.value, seed);
+    return sum;
+}
+
+// Returns the configured services after a change; sorted.
+std::vector<service_id> apply_services(std::vector<service_id> services,
+                                       routes_delta const& delta)
+{
+    services.insert(services.end(), delta.added_services.begin(),
+                    delta.added_services.end());
+    std::sort(services.begin(), services.end());
+    services.erase(std::unique(services.begin(), services.end()),
+                   services.end());
+    for (service_id const id : delta.removed_services)
+        std::erase(services, id);
+    return services;
+}
+
 // Linear search: the targets of a part that was received as a whole keep the
 // order of the document and aren't sorted by id.
 auto find_position(std::vector<target_record>& targets, target_id id)
@@ -143,6 +166,8 @@
                                   routes_delta const& delta)
 {
     std::uint64_t gain = hash_route_settings(delta) - hash_route_settings(old);
+    gain += hash_configured(apply_services(old.services, delta)) -
+            hash_configured(old.services);
     auto const remove_old = [&](peer_address address) {
         if (route_record const* previous = find_route_record(old, address))
             gain -= hash_route(*previous);
@@ -196,6 +221,14 @@
         remove(address);
         into.removed.push_back(address);
     }
+    for (service_id const id : later.added_services) {
+        std::erase(into.removed_services, id);
+        into.added_services.push_back(id);
+    }
+    for (service_id const id : later.removed_services) {
+        std::erase(into.added_services, id);
+        into.removed_services.push_back(id);
+    }
 }
 
 // Kept so that peers that are behind can be sent deltas.
@@ -227,7 +260,8 @@
 
 digest compute_digest(routes_part const& part)
 {
-    std::uint64_t sum = hash_route_settings(part);
+    std::uint64_t sum =
+        hash_route_settings(part) + hash_configured(part.services);
     for (route_record const& route : part.routes)
         sum += hash_route(route);
     return {sum};
@@ -353,6 +387,7 @@
     part.idle_lifetime = delta.idle_lifetime;
     part.version = delta.version;
     part.warm_up_limits = delta.warm_up_limits;
+    part.services = apply_services(part.services, delta);
     auto const remove_old = [&part](peer_address address) {
         std::erase_if(part.routes, [address](route_record const& one) {
             return one.address == address;
@@ -470,6 +505,12 @@
                                                  part->callers.end(), caller);
 }
 
+bool catalog::is_configured(service_id id) const
+{
+    std::vector<service_id> const& all = this->current.routes.services;
+    return all.empty() || std::binary_search(all.begin(), all.end(), id);
+}
+
 std::optional<peer_address> catalog::find_address(target_id id) const
 {
     auto const found = this->targets.find(id);
--- a/src/catalog/catalog.hpp
+++ b/src/catalog/catalog.hpp
@@ -112,6 +112,10 @@
     duration idle_lifetime = {};            // of idle connections; 0: unlimited
     std::uint64_t version = 0;  // set by the operator; only increases
     std::vector<warm_up_limit> warm_up_limits = {};  // sorted by service
+
+    // The services that the operator has configured; sorted. Empty: all that
+    // have targets. The targets of other services get no new connections.
+    std::vector<service_id> services = {};
     auto operator<=>(routes_part const&) const = default;
 };
 
@@ -151,6 +155,9 @@
     duration idle_lifetime = {};
     std::uint64_t version = 0;
     std::vector<warm_up_limit> warm_up_limits = {};
+
+    std::vector<service_id> added_services = {};    // now configured
+    std::vector<service_id> removed_services = {};  // no longer configured
     auto operator<=>(routes_delta const&) const = default;
 };
 
@@ -206,6 +213,11 @@
     service_part const* find_service(service_id id) const;
     bool is_permitted(service_id service, caller_id caller) const;
 
+    // Returns whether the operator has configured the service. A service that
+    // isn't may belong to another application, or may be one that was removed
+    // from the configuration and still holds open connections.
+    bool is_configured(service_id id) const;
+
     // Looks up a target in any service, leaving targets included.
     std::optional<peer_address> find_address(target_id id) const;
     std::optional<target_state> find_state(service_id service,
--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -33,6 +33,17 @@
     return routes;
 }
 
+std::vector<service_id> make_service_ids(std::vector<std::string> const& names)
+{
+    std::vector<service_id> ids;
+    ids.reserve(names.size());
+    for (std::string const& name : names)
+        ids.push_back(make_service_id(name));
+    std::sort(ids.begin(), ids.end());
+    ids.erase(std::unique(ids.begin(), ids.end()), ids.end());
+    return ids;
+}
+
 }  // namespace
 
 namespace detail {
@@ -68,6 +79,12 @@
     std::set_difference(old_addresses.begin(), old_addresses.end(),
                         next_addresses.begin(), next_addresses.end(),
                         std::back_inserter(delta.removed));
+    std::set_difference(next.services.begin(), next.services.end(),
+                        old.services.begin(), old.services.end(),
+                        std::back_inserter(delta.added_services));
+    std::set_difference(old.services.begin(), old.services.end(),
+                        next.services.begin(), next.services.end(),
+                        std::back_inserter(delta.removed_services));
     return delta;
 }
 
@@ -86,58 +103,66 @@
     this->evacuations = {};
 }
 
-// Only the store names all services. The routes name those that must not be
-// ignored until the store holds this version.
 void published_catalog::keep_routes(routes_part const& in_force)
 {
     if (in_force.version <= this->routes_version)
         return;
     this->routes_version = in_force.version;
     this->routes = in_force;
-    if (this->services.empty())
-        return;
-    for (route_record const& route : in_force.routes)
-        for (weighted_service const& share : route.services)
-            this->services.insert(share.service);
 }
 
-// Other applications may publish targets of services that don't exist. Such a
-// target must not be used, and must not replace another one.
-bool published_catalog::is_ignored(published_target const& target) const
+bool published_catalog::is_configured(published_target const& target) const
 {
-    return !this->services.empty() &&
-           !this->services.contains(make_service_id(target.service));
+    std::vector<service_id> const& all = this->routes.services;
+    return all.empty() || std::binary_search(all.begin(), all.end(),
+                                             make_service_id(target.service));
 }
 
-std::set<std::string> published_catalog::list_ignored_keys() const
+std::set<std::string> published_catalog::list_unconfigured_keys() const
 {
     std::set<std::string> keys;
     for (auto const& [key, target] : this->targets)
-        if (this->is_ignored(target))
+        if (!this->is_configured(target))
             keys.insert(key);
     return keys;
 }
 
-// Builds the service parts from the keys. After a power failure, keys of dead
-// back ends can remain for a while at addresses that new ones already use. Of
-// two keys with one back end's address, the one created later is kept. Keys
-// with different ports of one VM are different back ends.
-std::map<service_id, service_part>
-published_catalog::build_parts(generation at_revision) const
+// Configured services use an address one after the other. A target of another
+// service must not replace one of theirs: it may belong to another application.
+// It isn't replaced by one of theirs either, since a service that was removed
+// from the configuration may still hold open connections.
+published_catalog::back_end_claim
+published_catalog::make_claim(published_target const& target) const
+{
+    return {target.back_end, this->is_configured(target)
+                                 ? service_id{}
+                                 : make_service_id(target.service)};
+}
+
+// After a power failure, keys of dead back ends can remain for a while at
+// addresses that new ones already use. Of two keys with one claim, the one
+// created later is kept. Keys with different ports of one VM are different back
+// ends.
+std::map<published_catalog::back_end_claim, std::string>
+published_catalog::find_newest_keys() const
 {
-    std::map<peer_address, std::string> newest;
+    std::map<back_end_claim, std::string> newest;
     for (auto const& [key, target] : this->targets) {
-        if (this->is_ignored(target))
-            continue;
-        auto const [at, is_first] = newest.emplace(target.back_end, key);
+        auto const [at, is_first] =
+            newest.emplace(this->make_claim(target), key);
         if (!is_first &&
             this->targets.at(at->second).created_at < target.created_at)
             at->second = key;
     }
+    return newest;
+}
+
+std::map<service_id, service_part>
+published_catalog::build_parts(generation at_revision) const
+{
     std::map<service_id, service_part> built;
-    for (auto const& [key, target] : this->targets) {
-        if (this->is_ignored(target) || newest.at(target.back_end) != key)
-            continue;
+    for (auto const& [claim, key] : this->find_newest_keys()) {
+        published_target const& target = this->targets.at(key);
         service_id const id = make_service_id(target.service);
         service_part& part = built[id];
         part.id = id;
@@ -197,12 +222,12 @@
     if (update.version <= this->routes_version)
         return;
     this->routes_version = update.version;
-    this->services.clear();
-    for (std::string const& name : update.services)
-        this->services.insert(make_service_id(name));
-    routes_part next{change.to, sort_routes(update.routes),
-                     update.idle_lifetime, update.version,
-                     update.warm_up_limits};
+    routes_part next{change.to,
+                     sort_routes(update.routes),
+                     update.idle_lifetime,
+                     update.version,
+                     update.warm_up_limits,
+                     make_service_ids(update.services)};
     std::sort(next.warm_up_limits.begin(), next.warm_up_limits.end());
     if (change.base != generation{})
         change.route_delta = detail::compute_delta(this->routes, next);
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -50,7 +50,7 @@
     std::uint64_t version = 0;  // set by the operator; only increases
     std::vector<route_record> routes = {};
     duration idle_lifetime = {};
-    std::vector<std::string> services = {};  // that exist; empty: unknown
+    std::vector<std::string> services = {};  // configured; empty: unknown
     std::vector<warm_up_limit> warm_up_limits = {};
     auto operator<=>(published_routes const&) const = default;
 };
@@ -98,9 +98,8 @@
     // Returns the known revision, from which the next incremental read starts.
     generation current_revision() const;
 
-    // Returns the keys of targets that are left out because their services
-    // don't exist.
-    std::set<std::string> list_ignored_keys() const;
+    // Returns the keys of targets whose services aren't configured.
+    std::set<std::string> list_unconfigured_keys() const;
 
     // Discards all state except the routes, whose version never falls while
     // the process runs; the next update must be a snapshot.
@@ -110,7 +109,17 @@
     void keep_routes(routes_part const& in_force);
 
 private:
-    bool is_ignored(published_target const& target) const;
+    // Of several keys with one claim, all but one are outdated.
+    struct back_end_claim
+    {
+        peer_address back_end = {};
+        service_id service = {};  // 0: any configured one
+        auto operator<=>(back_end_claim const&) const = default;
+    };
+
+    back_end_claim make_claim(published_target const& target) const;
+    bool is_configured(published_target const& target) const;
+    std::map<back_end_claim, std::string> find_newest_keys() const;
     std::map<service_id, service_part>
     build_parts(generation at_revision) const;
     catalog_change build_change(published_update const& update,
@@ -122,7 +131,6 @@
 
     generation revision = {};
     std::uint64_t routes_version = 0;
-    std::set<service_id> services = {};  // that exist; empty: unknown
     std::map<std::string, published_target> targets = {};
     std::map<service_id, service_part> parts = {};
     routes_part routes = {};
--- a/src/documents/documents.cpp
+++ b/src/documents/documents.cpp
@@ -131,6 +131,14 @@
         routes["warm_up_limits"].append(to_json(limit));
 }
 
+// Adds a list of services, unless it is empty.
+void add_services(Json::Value& object, char const* key,
+                  std::vector<service_id> const& services)
+{
+    for (service_id const id : services)
+        object[key].append(to_hex(id.value));
+}
+
 Json::Value to_json(evacuations_part const& part)
 {
     Json::Value value{Json::objectValue};
@@ -150,6 +158,7 @@
     for (route_record const& route : part.routes)
         value["routes"].append(to_json(route));
     add_version_and_limits(value, part.version, part.warm_up_limits);
+    add_services(value, "services", part.services);
     return value;
 }
 
@@ -181,6 +190,8 @@
     for (peer_address const& address : delta.removed)
         value["gone"].append(to_text(address));
     add_version_and_limits(value, delta.version, delta.warm_up_limits);
+    add_services(value, "added_services", delta.added_services);
+    add_services(value, "gone_services", delta.removed_services);
     return value;
 }
 
@@ -367,6 +378,19 @@
     return limits;
 }
 
+// Returns a sorted list, which is empty if the key is missing.
+std::vector<service_id> read_services(json_checker& checker,
+                                      json_node const& object, char const* key)
+{
+    std::vector<service_id> services;
+    if (!checker.has(object, key))
+        return services;
+    for (json_node const& item : checker.read_list(object, key))
+        services.push_back({read_id(checker, item).value});
+    std::sort(services.begin(), services.end());
+    return services;
+}
+
 evacuations_part read_evacuations(json_checker& checker,
                                   json_node const& object)
 {
@@ -382,7 +406,7 @@
 routes_part read_routes(json_checker& checker, json_node const& object)
 {
     checker.check_keys(object, {"changed_at", "idle_lifetime_us", "routes",
-                                "version", "warm_up_limits"});
+                                "version", "warm_up_limits", "services"});
     generation const changed_at =
         read_generation(checker, object, "changed_at", {0, INT64_MAX});
     duration const idle =
@@ -390,9 +414,12 @@
     std::vector<route_record> routes;
     for (json_node const& item : checker.read_list(object, "routes"))
         routes.push_back(read_route(checker, item));
-    return {changed_at, routes, idle,
+    return {changed_at,
+            routes,
+            idle,
             checker.read_number_or(object, "version", 0),
-            read_warm_up_limits(checker, object)};
+            read_warm_up_limits(checker, object),
+            read_services(checker, object, "services")};
 }
 
 platform_head read_head(json_checker& checker, json_node const& object)
@@ -427,13 +454,16 @@
 
 routes_delta read_route_delta(json_checker& checker, json_node const& object)
 {
-    checker.check_keys(object, {"idle_lifetime_us", "changed", "gone",
-                                "version", "warm_up_limits"});
+    checker.check_keys(object,
+                       {"idle_lifetime_us", "changed", "gone", "version",
+                        "warm_up_limits", "added_services", "gone_services"});
     routes_delta delta{{},
                        {},
                        read_microseconds(checker, object, "idle_lifetime_us"),
                        checker.read_number_or(object, "version", 0),
-                       read_warm_up_limits(checker, object)};
+                       read_warm_up_limits(checker, object),
+                       read_services(checker, object, "added_services"),
+                       read_services(checker, object, "gone_services")};
     for (json_node const& item : checker.read_list(object, "changed"))
         delta.changed.push_back(read_route(checker, item));
     for (json_node const& item : checker.read_list(object, "gone"))
--- a/src/entry/connection_entry.hpp
+++ b/src/entry/connection_entry.hpp
@@ -171,6 +171,9 @@
     bool prefer_home_data_centre = false;
     departure_limits departure = {};
 
+    // Upper bound on the age of a connection.
+    duration max_connection_age = std::chrono::seconds{60};
+
     // Whether connections that no living back end holds are reset.
     bool reset_lost_connections = false;
     locator_limits locator = {};
@@ -318,7 +321,7 @@
     connection_entry_settings settings;
     catalog config = {};
     membership<R> member;
-    target_directory directory = {};
+    target_directory directory;
     target_hints hints = {};
     owner_table owners;
     placer<P> connection_placer;
--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -34,7 +34,8 @@
 connection_entry<R, P>::connection_entry(connection_entry_settings settings,
                                          R random, time_point now)
     : settings(settings), member(settings.membership, std::move(random), now),
-      owners(settings.owners), connection_placer(settings.placement),
+      directory(settings.max_connection_age, now), owners(settings.owners),
+      connection_placer(settings.placement),
       preference(settings.prefer_home_data_centre,
                  settings.membership.data_centre, settings.departure),
       evacuations(settings.membership.self), locator(settings.locator),
@@ -234,7 +235,7 @@
     std::optional<service_id> const service =
         detail::select_service(*route, packet.endpoints);
     service_part const* part =
-        service ? this->directory.find(*service) : nullptr;
+        service ? this->directory.find_configured(*service) : nullptr;
     std::optional<owner_record> const owner =
         this->owners.find(packet.endpoints);
     if (part == nullptr) {
@@ -341,7 +342,7 @@
 template <random_source R, placement_policy P>
 placement_site connection_entry<R, P>::find_site(owner_found const& found) const
 {
-    service_part const* part = this->directory.find(found.service);
+    service_part const* part = this->directory.find_configured(found.service);
     route_record const* route =
         this->config.find_route(found.packet.endpoints.service);
     if (!found.packet.is_opening || part == nullptr || route == nullptr)
@@ -570,6 +571,7 @@
         effects.push_back(status_change_note{
             status_change::paused, {}, now - this->last_tick});
         this->is_resuming = true;
+        this->directory.record_pause(now);
     }
     this->last_tick = now;
     detail::append(effects, this->member.tick(this->config, now));
--- a/src/entry/home_preference.hpp
+++ b/src/entry/home_preference.hpp
@@ -73,10 +73,13 @@
     {
         std::vector<service_departure> changes;
         this->updated_at = now;
-        std::erase_if(this->choices, [&services](auto const& one) {
-            return !services.contains(one.first);
+        std::erase_if(this->choices, [&](auto const& one) {
+            return !services.contains(one.first) ||
+                   !config.is_configured(one.first);
         });
         for (auto const& [id, part] : services) {
+            if (!config.is_configured(id))
+                continue;
             named_choice& one =
                 this->choices
                     .try_emplace(id,
--- a/src/entry/owner_candidates.hpp
+++ b/src/entry/owner_candidates.hpp
@@ -66,13 +66,13 @@
     std::vector<service_part const*> of_route = {};
 
     // The route may have been given to another service since the connection was
-    // opened.
+    // opened. Services that aren't configured any more come last.
     std::vector<service_part const*> others = {};
 };
 
 inline searched_services
 list_searched_services(target_directory const& directory,
-                       route_record const& route,
+                       catalog const& current, route_record const& route,
                        connection_endpoints const& endpoints)
 {
     std::vector<service_id> const own = list_services(route, endpoints);
@@ -83,6 +83,10 @@
     for (auto const& [id, part] : directory.services())
         if (std::find(own.begin(), own.end(), id) == own.end())
             services.others.push_back(&part);
+    std::stable_partition(services.others.begin(), services.others.end(),
+                          [&current](service_part const* part) {
+                              return current.is_configured(part->id);
+                          });
     return services;
 }
 
--- a/src/entry/owner_search.ipp
+++ b/src/entry/owner_search.ipp
@@ -21,7 +21,7 @@
     }
     search_record search{};
     search.remaining = detail::list_owner_candidates(
-        detail::list_searched_services(this->directory, *route,
+        detail::list_searched_services(this->directory, this->config, *route,
                                        packet.endpoints),
         make_flow_key(packet.endpoints), this->preference);
     detail::move_candidates(search.remaining, preferred, returned_by);
--- a/src/placement/connection_locator.cpp
+++ b/src/placement/connection_locator.cpp
@@ -224,6 +224,7 @@
     if (!is_asked)
         return;
     std::vector<located_target> unsure;
+    std::set<peer_address> denying;
     for (auto const& [query, asked] : this->round->asked) {
         if (asked.verdicts.empty())
             continue;
@@ -236,7 +237,14 @@
         }
         if (verdict == locate_verdict::unsure)
             unsure.push_back(asked.target);
+        else
+            denying.insert(asked.target.address);
     }
+    // Several services can be published at one address. The process there knows
+    // about its own and is unsure about the others.
+    std::erase_if(unsure, [&denying](located_target const& target) {
+        return denying.contains(target.address);
+    });
     if (unsure.size() > this->limits.max_trials) {
         this->pending.erase(found);
         this->next_round_at =
--- a/src/placement/target_directory.cpp
+++ b/src/placement/target_directory.cpp
@@ -14,16 +14,18 @@
     });
 }
 
-bool contains_address(std::map<service_id, service_part> const& services,
-                      peer_address address)
+}  // namespace
+
+target_directory::target_directory(duration max_connection_age,
+                                   time_point started_at)
+    : history(max_connection_age, started_at)
 {
-    return std::any_of(
-        services.begin(), services.end(), [&](auto const& service) {
-            return contains_address(service.second.targets, address);
-        });
 }
 
-}  // namespace
+service_part const* target_directory::find_configured(service_id id) const
+{
+    return this->configured.contains(id) ? this->find(id) : nullptr;
+}
 
 service_part const* target_directory::find(service_id id) const
 {
@@ -44,9 +46,12 @@
 void target_directory::collect_addresses()
 {
     this->addresses.clear();
-    for (auto const& [id, part] : this->merged)
+    for (auto const& [id, part] : this->listed)
         for (target_record const& target : part.targets)
             this->addresses.insert(target.address);
+    for (auto const& [id, targets] : this->unlisted)
+        for (unlisted_target const& record : targets)
+            this->addresses.insert(record.target.address);
 }
 
 std::size_t target_directory::unlisted_count() const
@@ -81,39 +86,82 @@
             old, found == services.end() ? nullptr : &found->second, now);
     }
     this->listed = services;
-    // An address that is listed again replaces the unlisted target there.
+    this->drop_replaced(current);
+    this->history.update(current, now);
+    this->configured.clear();
+    for (auto const& [id, part] : services)
+        if (current.is_configured(id))
+            this->configured.insert(id);
+    for (auto const& [id, targets] : this->unlisted)
+        if (current.is_configured(id))
+            this->configured.insert(id);
+    this->rebuild_all(now);
+    this->collect_addresses();
+}
+
+// A target that is listed again, or a listed one of a configured service,
+// replaces the unlisted target at its address. One of another application
+// doesn't.
+void target_directory::drop_replaced(catalog const& current)
+{
     for (auto& [id, targets] : this->unlisted)
-        std::erase_if(targets, [&](unlisted_target const& record) {
-            return contains_address(services, record.target.address);
+        std::erase_if(targets, [&, owner = id](unlisted_target const& record) {
+            return std::any_of(this->listed.begin(), this->listed.end(),
+                               [&](auto const& service) {
+                                   bool const may_replace =
+                                       service.first == owner ||
+                                       current.is_configured(service.first);
+                                   return may_replace &&
+                                          contains_address(
+                                              service.second.targets,
+                                              record.target.address);
+                               });
         });
+}
+
+void target_directory::rebuild_all(time_point now)
+{
+    this->has_unknown_services = this->history.may_lack_services(now);
     this->merged.clear();
-    for (auto const& [id, part] : services)
-        this->rebuild(id);
+    for (auto const& [id, part] : this->listed)
+        this->rebuild(id, now);
     for (auto const& [id, targets] : this->unlisted)
-        this->rebuild(id);
-    this->collect_addresses();
+        this->rebuild(id, now);
 }
 
-void target_directory::rebuild(service_id id)
+void target_directory::rebuild(service_id id, time_point now)
 {
     auto const part = this->listed.find(id);
     service_part combined =
         part == this->listed.end() ? service_part{id} : part->second;
-    for (unlisted_target const& record : this->unlisted[id])
-        combined.targets.push_back(record.target);
-    if (combined.targets.empty())
-        this->merged.erase(id);
-    else
+    auto const records = this->unlisted.find(id);
+    if (records != this->unlisted.end())
+        for (unlisted_target const& record : records->second)
+            combined.targets.push_back(record.target);
+    bool const is_used =
+        !combined.targets.empty() && this->history.may_own_connections(id, now);
+    if (is_used)
         this->merged.insert_or_assign(id, combined);
+    else
+        this->merged.erase(id);
+}
+
+void target_directory::record_pause(time_point now)
+{
+    this->history.record_gap(now);
 }
 
 std::vector<target_record> target_directory::tick(duration platform_age,
                                                   time_point now)
 {
     bool const is_platform_down = platform_age > platform_outage_age;
-    if (this->was_platform_down && !is_platform_down)
+    if (this->was_platform_down && !is_platform_down) {
         this->platform_back_at = now;
+        this->history.record_gap(now);
+    }
     this->was_platform_down = is_platform_down;
+    if (this->has_unknown_services != this->history.may_lack_services(now))
+        this->rebuild_all(now);
     std::vector<target_record> expired;
     if (is_platform_down)
         return expired;
@@ -128,7 +176,7 @@
             return is_expired;
         });
         if (expired.size() > before)
-            this->rebuild(id);
+            this->rebuild(id, now);
     }
     if (!expired.empty())
         this->collect_addresses();
--- a/src/programs/connection_entry_program.ipp
+++ b/src/programs/connection_entry_program.ipp
@@ -55,6 +55,8 @@
         .timing = make_membership_timing(compute_apply_limit(settings))};
     role.prefer_home_data_centre = settings.prefer_home_data_centre;
     role.reset_lost_connections = settings.reset_lost_connections;
+    if (settings.max_connection_age > duration{})
+        role.max_connection_age = settings.max_connection_age;
     return role;
 }
 
--- a/src/programs/connection_settings.cpp
+++ b/src/programs/connection_settings.cpp
@@ -20,26 +20,24 @@
 
 // Returns 0 if the limit is absent or 0.
 duration read_optional_limit(json_checker& checker, json_node const& object,
-                             std::string const& key)
+                             std::string const& key, duration unit)
 {
     if (!checker.has(object, key))
         return {};
     Json::Value const& value = (*object.value)[key];
     bool const is_off = value.isNumeric() && value.asDouble() == 0;
-    return is_off ? duration{}
-                  : checker.read_duration(object, key,
-                                          std::chrono::milliseconds{1});
+    return is_off ? duration{} : checker.read_duration(object, key, unit);
 }
 
 entry_process_settings read_entry(json_checker& checker,
                                   json_node const& object)
 {
-    checker.check_keys(object,
-                       {"name", "data_centre", "packets", "exchange", "control",
-                        "ready", "metrics", "platform", "seeds",
-                        "change_limit_ms", "evacuation_limit_ms",
-                        "prefer_home_data_centre", "reset_lost_connections",
-                        "log_level", "log_lines_per_second"});
+    checker.check_keys(
+        object, {"name", "data_centre", "packets", "exchange", "control",
+                 "ready", "metrics", "platform", "seeds", "change_limit_ms",
+                 "evacuation_limit_ms", "prefer_home_data_centre",
+                 "reset_lost_connections", "longest_connection_s", "log_level",
+                 "log_lines_per_second"});
     entry_process_settings settings{
         .name = checker.read_text(object, "name"),
         .data_centre = checker.read_text(object, "data_centre"),
@@ -51,13 +49,16 @@
         .change_limit = checker.read_duration(object, "change_limit_ms",
                                               std::chrono::milliseconds{1}),
         .evacuation_limit =
-            read_optional_limit(checker, object, "evacuation_limit_ms"),
+            read_optional_limit(checker, object, "evacuation_limit_ms",
+                                std::chrono::milliseconds{1}),
         .prefer_home_data_centre =
             checker.has(object, "prefer_home_data_centre") &&
             checker.read_flag(object, "prefer_home_data_centre"),
         .reset_lost_connections =
             checker.has(object, "reset_lost_connections") &&
             checker.read_flag(object, "reset_lost_connections"),
+        .max_connection_age = read_optional_limit(
+            checker, object, "longest_connection_s", std::chrono::seconds{1}),
         .log = read_log(checker, object),
     };
     for (json_node const& item : checker.read_list(object, "seeds"))
--- a/src/programs/connection_settings.hpp
+++ b/src/programs/connection_settings.hpp
@@ -42,6 +42,7 @@
     duration evacuation_limit = {};  // the same for evacuations; 0: none
     bool prefer_home_data_centre = false;  // optional in the file
     bool reset_lost_connections = false;   // see connection_entry_settings
+    duration max_connection_age = {};      // optional in the file; 0: default
     log_settings log = {};
     auto operator<=>(entry_process_settings const&) const = default;
 };
--- a/src/wire/peer_codec.cpp
+++ b/src/wire/peer_codec.cpp
@@ -28,14 +28,20 @@
     out.put(std::uint64_t{limit.opens_per_second});
 }
 
+void write(packet_writer& out, service_id id)
+{
+    out.put(id.value);
+}
+
 void write(packet_writer& out, routes_part const& part)
 {
-    out.put_array_header(5);
+    out.put_array_header(6);
     out.put(part.changed_at.value);
     out.put_list(part.routes);
     out.put(part.idle_lifetime);
     out.put(part.version);
     out.put_list(part.warm_up_limits);
+    out.put_list(part.services);
 }
 
 void write(packet_writer& out, evacuations_part const& part)
@@ -47,11 +53,6 @@
         out.put(std::string_view{data_centre});
 }
 
-void write(packet_writer& out, service_id id)
-{
-    out.put(id.value);
-}
-
 void write(packet_writer& out, target_id id)
 {
     out.put(id.value);
@@ -79,12 +80,14 @@
 
 void write(packet_writer& out, routes_delta const& delta)
 {
-    out.put_array_header(5);
+    out.put_array_header(7);
     out.put_list(delta.changed);
     out.put(delta.removed);
     out.put(delta.idle_lifetime);
     out.put(delta.version);
     out.put_list(delta.warm_up_limits);
+    out.put_list(delta.added_services);
+    out.put_list(delta.removed_services);
 }
 
 void write(packet_writer& out, route_record const& route)
@@ -239,8 +242,12 @@
         read_list<route_record>(in, read_route);
     duration const idle_lifetime = in.read_duration();
     std::uint64_t const version = in.read_number();
-    return {changed_at, routes, idle_lifetime, version,
-            read_list<warm_up_limit>(in, read_warm_up_limit)};
+    std::vector<warm_up_limit> const limits =
+        read_list<warm_up_limit>(in, read_warm_up_limit);
+    std::vector<service_id> const services = read_ids<service_id>(in);
+    if (!std::is_sorted(services.begin(), services.end()))
+        in.mark_invalid();
+    return {changed_at, routes, idle_lifetime, version, limits, services};
 }
 
 evacuations_part read_evacuations_part(field_reader& in)
@@ -261,8 +268,11 @@
         in.read_addresses(max_message_size / packed_address_size);
     duration const idle_lifetime = in.read_duration();
     std::uint64_t const version = in.read_number();
-    return {changed, removed, idle_lifetime, version,
-            read_list<warm_up_limit>(in, read_warm_up_limit)};
+    std::vector<warm_up_limit> const limits =
+        read_list<warm_up_limit>(in, read_warm_up_limit);
+    std::vector<service_id> const added = read_ids<service_id>(in);
+    return {changed, removed, idle_lifetime,           version,
+            limits,  added,   read_ids<service_id>(in)};
 }
 
 // Reads a nested value; nil stands for an absent one.
--- a/tests/fakes/fake_connections.hpp
+++ b/tests/fakes/fake_connections.hpp
@@ -263,6 +263,12 @@
         }
     }
 
+    // Gives the route of a kind to another service, with the next publish().
+    void move_route(std::size_t kind, std::string const& service)
+    {
+        this->kinds[kind].service = service;
+    }
+
     // Stores the present targets and routes for reads of the platform.
     void publish()
     {
@@ -271,7 +277,10 @@
         for (std::size_t i = 0; i < this->targets.size(); ++i)
             if (!this->unlisted.contains(i))
                 update.keys.push_back(this->make_target_key(i));
+        update.keys.insert(update.keys.end(), this->foreign_keys.begin(),
+                           this->foreign_keys.end());
         published_routes routes{++this->config_version, {}, 15s};
+        routes.services = this->configured_services;
         routes.warm_up_limits = this->warm_up_limits;
         for (request_kind const& kind : this->kinds)
             routes.routes.push_back({kind.route,
@@ -468,6 +477,8 @@
     std::set<std::size_t> cut_off_entries = {};      // cannot read the platform
     std::set<std::size_t> isolated_entries = {};     // nor exchange with peers
     std::set<int> evacuated = {};                    // data centres
+    std::vector<std::string> configured_services = {};  // empty: not stated
+    std::vector<key_change> foreign_keys = {};          // of other applications
     bool is_platform_up = true;
     std::size_t platform_calls = 0;
     std::size_t resets = 0;           // received by callers
--- a/tests/fuzz/catalogs.cpp
+++ b/tests/fuzz/catalogs.cpp
@@ -126,10 +126,12 @@
     void record_routes(std::uint64_t number)
     {
         published_routes next{number, {}, std::chrono::seconds{15}, {}};
-        for (auto const& [id, service] : this->route_services)
+        for (auto const& [id, service] : this->route_services) {
+            next.services.push_back(service_name(service));
             next.routes.push_back(
                 {{1, static_cast<std::uint16_t>(id + 1)},
                  {{make_service_id(service_name(service)), 1}}});
+        }
         this->routes.push_back(next);
     }
 
--- a/tests/stories/documents_story.cpp
+++ b/tests/stories/documents_story.cpp
@@ -322,8 +322,12 @@
 // reader rejects the change.
 TEST(a_document, of_a_change_keeps_every_part)
 {
-    routes_part const routes{
-        {7}, {}, std::chrono::seconds{15}, 9, {{{3}, duration{2'500'000}, 4}}};
+    routes_part const routes{{7},
+                             {},
+                             std::chrono::seconds{15},
+                             9,
+                             {{{3}, duration{2'500'000}, 4}},
+                             {{3}, {5}}};
     target_record const target{make_target_id("m1"),
                                "m1",
                                "zg-a",
@@ -339,8 +343,13 @@
     SAME(change, *parse_change(this->checker, write_document(change)));
     change.base = {5};
     change.routes.reset();
-    change.route_delta = routes_delta{
-        {}, {}, routes.idle_lifetime, routes.version, routes.warm_up_limits};
+    change.route_delta = routes_delta{{},
+                                      {},
+                                      routes.idle_lifetime,
+                                      routes.version,
+                                      routes.warm_up_limits,
+                                      {{3}},
+                                      {{8}, {9}}};
     SAME(change, *parse_change(this->checker, write_document(change)));
 }
 
--- a/tests/stories/lost_connections_story.cpp
+++ b/tests/stories/lost_connections_story.cpp
@@ -362,6 +362,32 @@
 
 // Load pattern: all targets were restarted while their back ends run on, and
 // searches find the owners. Guards against rounds that can't prove anything.
+// Guards against an entry of another application at a target's address that
+// keeps all connections from being proved lost.
+TEST(locator_without_a_proof, asks_one_process_under_several_services)
+{
+    located_target other = this->list.targets.back();
+    other.service = {3};
+    this->list.targets.push_back(other);
+    this->advance();
+    this->answer_all({locate_verdict::denied, locate_verdict::denied,
+                      locate_verdict::denied, locate_verdict::unsure});
+    CHECK(this->find_all<try_at_target>().empty());
+    CHECK(this->is_lost());
+}
+
+TEST(locator_without_a_proof, needs_a_denial_from_each_process)
+{
+    located_target other = this->list.targets.back();
+    other.service = {3};
+    this->list.targets.push_back(other);
+    this->advance();
+    this->answer_all({locate_verdict::denied, locate_verdict::denied,
+                      locate_verdict::unsure, locate_verdict::unsure});
+    UNSIGNED_LONGS_EQUAL(2, this->find_all<try_at_target>().size());
+    CHECK(!this->is_lost());
+}
+
 TEST(locator_without_a_proof, pauses_while_many_targets_are_unsure)
 {
     for (std::uint32_t i = 4; i < 14; ++i)
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -222,8 +222,9 @@
 {
     time_point now{100s};
     service_id members = make_service_id("members");
-    target_directory directory = {};
+    target_directory directory{60s, this->now};
     std::uint64_t last_generation = 0;
+    std::vector<service_id> configured = {};  // sorted; empty: all
 
     // Publishes a catalog with exactly these targets in the named services.
     void publish(
@@ -232,8 +233,10 @@
     {
         generation const next{++this->last_generation};
         catalog_change change{{}, next};
+        change.routes =
+            routes_part{.changed_at = next, .services = this->configured};
         std::uint64_t sum = compute_digest(fleet_part{}).value +
-                            compute_digest(routes_part{}).value;
+                            compute_digest(*change.routes).value;
         for (auto const& [name, targets] : services) {
             service_part part{make_service_id(name), name, next, {}, targets};
             sum += compute_digest(part).value;
@@ -248,7 +251,8 @@
 
     std::size_t count_member_targets() const
     {
-        service_part const* part = this->directory.find(this->members);
+        service_part const* part =
+            this->directory.find_configured(this->members);
         return part == nullptr ? 0 : part->targets.size();
     }
 };
