Drop the age of a refused request at the deadline of its route

Cause: the retry of a refused request is recognised by its address and route, and keeps its age. Behind one address the next request of any caller took the age over, was refused for it by idle targets once it exceeded the deadline, and handed it on.

Change: an age that has reached the deadline of the route isn't handed on: its caller has given up. Of several refused requests that match, the latest is taken, so that a new request isn't taken for older than necessary.

--- a/src/entry/connection_entry.ipp
+++ b/src/entry/connection_entry.ipp
@@ -180,8 +180,11 @@
     if (packet.retransmission_count > 0)
         return {now,
                 now - detail::compute_attempt_age(packet.retransmission_count)};
+    route_record const* route =
+        this->config.find_route(packet.endpoints.service);
     std::optional<time_point> const requested_at = this->refusals.take_repeated(
-        packet.endpoints.caller.ip, packet.endpoints.service, now);
+        packet.endpoints.caller.ip, packet.endpoints.service,
+        route != nullptr ? route->deadline : duration{}, now);
     return {now, requested_at.value_or(now)};
 }
 
--- a/src/placement/refusal_history.cpp
+++ b/src/placement/refusal_history.cpp
@@ -13,21 +13,28 @@
 
 std::optional<time_point>
 refusal_history::take_repeated(std::uint32_t caller_ip, peer_address route,
-                               time_point now)
+                               duration deadline, time_point now)
 {
     while (!this->refusals.empty() &&
            now - this->refusals.front().refused_at > refusal_lifetime)
         this->refusals.pop_front();
-    auto const found = std::find_if(
-        this->refusals.begin(), this->refusals.end(),
-        [&](refused_request const& refusal) {
-            return refusal.caller_ip == caller_ip && refusal.route == route;
-        });
-    if (found == this->refusals.end())
+    auto latest = this->refusals.end();
+    for (auto one = this->refusals.begin(); one != this->refusals.end();
+         ++one) {
+        bool const is_match =
+            one->caller_ip == caller_ip && one->route == route;
+        bool const is_later = latest == this->refusals.end() ||
+                              one->requested_at > latest->requested_at;
+        if (is_match && is_later)
+            latest = one;
+    }
+    if (latest == this->refusals.end())
         return std::nullopt;
-    time_point const requested_at = found->requested_at;
-    this->refusals.erase(found);
-    return requested_at;
+    time_point const requested_at = latest->requested_at;
+    this->refusals.erase(latest);
+    bool const is_given_up =
+        deadline > duration{} && now - requested_at >= deadline;
+    return is_given_up ? std::nullopt : std::optional{requested_at};
 }
 
 }  // namespace lagoon
--- a/src/placement/refusal_history.hpp
+++ b/src/placement/refusal_history.hpp
@@ -38,10 +38,14 @@
 public:
     void add(refused_request const& refusal);
 
-    // Returns when a new request was first sent if it retries a refused one
-    // from the same caller and route, which is then removed.
+    // Returns when a new request was first sent if it may retry a refused one
+    // from the same caller and route, which is then removed. Callers give up a
+    // request that is older than `deadline`; 0: never. Callers may share an
+    // address, so that several refused requests match: the latest is taken, and
+    // no request is taken for older than it may be.
     std::optional<time_point> take_repeated(std::uint32_t caller_ip,
-                                            peer_address route, time_point now);
+                                            peer_address route,
+                                            duration deadline, time_point now);
 
 private:
     std::deque<refused_request> refusals = {};  // oldest first
--- a/tests/stories/placement_story.cpp
+++ b/tests/stories/placement_story.cpp
@@ -129,33 +129,66 @@
 TEST(a_refused_request, keeps_its_age_when_retried)
 {
     std::optional<time_point> const requested_at = this->history.take_repeated(
-        endpoints.caller.ip, endpoints.service, this->now + 6ms);
+        endpoints.caller.ip, endpoints.service, 1s, this->now + 6ms);
     CHECK(requested_at == this->now - 300ms);
 }
 
 TEST(a_refused_request, is_matched_by_one_retry_only)
 {
-    this->history.take_repeated(endpoints.caller.ip, endpoints.service,
+    this->history.take_repeated(endpoints.caller.ip, endpoints.service, 1s,
                                 this->now + 6ms);
     CHECK(!this->history.take_repeated(endpoints.caller.ip, endpoints.service,
-                                       this->now + 7ms));
+                                       1s, this->now + 7ms));
 }
 
 TEST(a_refused_request, is_not_matched_after_its_lifetime)
 {
     CHECK(!this->history.take_repeated(endpoints.caller.ip, endpoints.service,
-                                       this->now + refusal_lifetime + 1ms));
+                                       1s, this->now + refusal_lifetime + 1ms));
 }
 
 TEST(a_refused_request, is_not_matched_by_another_caller)
 {
     CHECK(!this->history.take_repeated(endpoints.caller.ip + 1,
-                                       endpoints.service, this->now));
+                                       endpoints.service, 1s, this->now));
 }
 
 TEST(a_refused_request, is_not_matched_by_another_route)
 {
-    CHECK(!this->history.take_repeated(endpoints.caller.ip, first, this->now));
+    CHECK(!this->history.take_repeated(endpoints.caller.ip, first, 1s,
+                                       this->now));
+}
+
+// Guards against callers behind one address that hand the age of a request on
+// after its caller has given up.
+TEST(a_refused_request, is_not_matched_once_its_caller_has_given_up)
+{
+    auto const is_matched = [this](duration deadline) {
+        this->setup();
+        return this->history
+            .take_repeated(endpoints.caller.ip, endpoints.service, deadline,
+                           this->now + 6ms)
+            .has_value();
+    };
+    CHECK(!is_matched(306ms));
+    CHECK(is_matched(307ms));
+    CHECK(is_matched(0ms));
+}
+
+// Guards against a new request that is taken for older than its caller's are.
+TEST(a_refused_request, is_matched_after_a_later_one)
+{
+    this->history.add({endpoints.caller.ip, endpoints.service, this->now - 20ms,
+                       this->now + 1ms});
+    this->history.add({endpoints.caller.ip, endpoints.service,
+                       this->now - 100ms, this->now + 2ms});
+    auto const take = [this] {
+        return this->history.take_repeated(
+            endpoints.caller.ip, endpoints.service, 1s, this->now + 6ms);
+    };
+    CHECK(take() == this->now - 20ms);
+    CHECK(take() == this->now - 100ms);
+    CHECK(take() == this->now - 300ms);
 }
 
 TEST(a_refused_request, is_dropped_when_the_history_is_full)
@@ -163,7 +196,7 @@
     for (std::size_t i = 0; i < max_refusals; ++i)
         this->history.add({1, first, this->now, this->now});
     CHECK(!this->history.take_repeated(endpoints.caller.ip, endpoints.service,
-                                       this->now));
+                                       1s, this->now));
 }
 
 namespace {
