Derive the targets from the services that the platform lists

Seen: the fuzz target `catalogs`, with services in its routes, found two inputs: processes that read one revision of a store that had reverted made different lists of its keys, and one of them could not adopt its next read. A full read follows then, so callers saw nothing.

Cause: which of two keys with one address is outdated depends on the configured services. A process that keeps later routes over a revert of the store took the services of these routes for it, others those of the store.

Change: the services that the platform lists decide, whatever routes are in force, so that the list depends on the revision alone.

--- a/src/catalog/published.cpp
+++ b/src/catalog/published.cpp
@@ -111,9 +111,9 @@
     this->routes = in_force;
 }
 
-bool published_catalog::is_configured(published_target const& target) const
+bool published_catalog::is_listed_service(published_target const& target) const
 {
-    std::vector<service_id> const& all = this->routes.services;
+    std::vector<service_id> const& all = this->listed_services;
     return all.empty() || std::binary_search(all.begin(), all.end(),
                                              make_service_id(target.service));
 }
@@ -122,7 +122,7 @@
 {
     std::set<std::string> keys;
     for (auto const& [key, target] : this->targets)
-        if (!this->is_configured(target))
+        if (!this->is_listed_service(target))
             keys.insert(key);
     return keys;
 }
@@ -134,7 +134,7 @@
 published_catalog::back_end_claim
 published_catalog::make_claim(published_target const& target) const
 {
-    return {target.back_end, this->is_configured(target)
+    return {target.back_end, this->is_listed_service(target)
                                  ? service_id{}
                                  : make_service_id(target.service)};
 }
@@ -264,8 +264,12 @@
     change.base = base;
     change.to = update.revision;
     this->revision = std::max(this->revision, update.revision);
-    if (update.routes)
+    if (update.is_snapshot)
+        this->listed_services.clear();
+    if (update.routes) {
+        this->listed_services = make_service_ids(update.routes->services);
         this->replace_routes(*update.routes, change);
+    }
     this->replace_parts(change);
     this->replace_evacuations(update, change);
     if (base == generation{})
--- a/src/catalog/published.hpp
+++ b/src/catalog/published.hpp
@@ -118,7 +118,7 @@
     };
 
     back_end_claim make_claim(published_target const& target) const;
-    bool is_configured(published_target const& target) const;
+    bool is_listed_service(published_target const& target) const;
     std::map<back_end_claim, std::string> find_newest_keys() const;
     std::map<service_id, service_part>
     build_parts(generation at_revision) const;
@@ -131,6 +131,11 @@
 
     generation revision = {};
     std::uint64_t routes_version = 0;
+
+    // The services that the platform lists, also with an earlier version of the
+    // routes: what is made of the keys depends on the revision alone, so that
+    // all processes agree.
+    std::vector<service_id> listed_services = {};  // sorted; empty: unknown
     std::map<std::string, published_target> targets = {};
     std::map<service_id, service_part> parts = {};
     routes_part routes = {};
