--- a/src/catalog/catalog.cpp
+++ b/src/catalog/catalog.cpp
@@ -1,5 +1,7 @@
 #include "catalog/catalog.hpp"
 
+#include "catalog/deltas.hpp"
+#include "catalog/digests.hpp"
 #include "catalog/route_versions.hpp"
 
 #include <algorithm>
@@ -8,229 +10,6 @@
 
 namespace {
 
-std::uint64_t hash_text(std::uint64_t seed, std::string const& text)
-{
-    return hash_bytes(text, seed);
-}
-
-std::uint64_t hash_address(std::uint64_t seed, peer_address const& address)
-{
-    auto const packed =
-        (std::uint64_t{address.ip} << 16U) | std::uint64_t{address.port};
-    return hash_pair(packed, seed);
-}
-
-std::uint64_t hash_target(service_id service, target_record const& target)
-{
-    std::uint64_t seed = hash_pair(target.id.value, service.value);
-    seed = hash_text(seed, target.name);
-    seed = hash_text(seed, target.data_centre);
-    seed = hash_address(seed, target.address);
-    seed = hash_address(seed, target.control);
-    seed = hash_pair(target.slots, seed);
-    seed = hash_pair(static_cast<std::uint64_t>(target.state), seed);
-    return target.started_at_ms == 0 ? seed
-                                     : hash_pair(target.started_at_ms, seed);
-}
-
-std::uint64_t hash_name(service_id service, std::string const& name)
-{
-    return hash_text(service.value, name);
-}
-
-std::uint64_t hash_entry(std::uint64_t seed, entry_record const& entry)
-{
-    seed = hash_pair(entry.id.value, seed);
-    seed = hash_text(seed, entry.name);
-    seed = hash_text(seed, entry.data_centre);
-    seed = hash_address(seed, entry.exchange);
-    return hash_address(seed, entry.control);
-}
-
-std::uint64_t hash_route(route_record const& route)
-{
-    std::uint64_t seed = hash_address(0, route.address);
-    for (weighted_service const& share : route.services) {
-        seed = hash_pair(share.service.value, seed);
-        seed = hash_pair(share.weight, seed);
-    }
-    seed = hash_pair(static_cast<std::uint64_t>(route.objective.count()), seed);
-    seed = hash_pair(static_cast<std::uint64_t>(route.deadline.count()), seed);
-    seed = hash_pair(route.priority, seed);
-    return hash_pair(route.is_idempotent ? 1U : 0U, seed);
-}
-
-std::uint64_t hash_lifetime(duration idle_lifetime)
-{
-    return idle_lifetime == duration{}
-               ? 0
-               : hash_pair(static_cast<std::uint64_t>(idle_lifetime.count()),
-                           1);
-}
-
-std::uint64_t hash_warm_up_limit(warm_up_limit const& limit)
-{
-    std::uint64_t const seed =
-        hash_pair(static_cast<std::uint64_t>(limit.warm_up_time.count()),
-                  limit.service.value);
-    return hash_pair(limit.opens_per_second, seed);
-}
-
-// Hash of what a part or a delta holds beside the routes.
-template <class Part> std::uint64_t hash_route_settings(Part const& part)
-{
-    std::uint64_t sum = hash_lifetime(part.idle_lifetime);
-    if (part.version != 0)
-        sum += hash_pair(part.version, 2);
-    for (warm_up_limit const& limit : part.warm_up_limits)
-        sum += hash_warm_up_limit(limit);
-    return sum;
-}
-
-std::uint64_t hash_configured(std::vector<service_id> const& services)
-{
-    constexpr std::uint64_t seed = 4;
-    std::uint64_t sum = 0;
-    for (service_id const id : services)
-        sum += hash_pair(id.value, seed);
-    return sum;
-}
-
-// Returns the configured services after a change; sorted.
-std::vector<service_id> apply_services(std::vector<service_id> services,
-                                       routes_delta const& delta)
-{
-    services.insert(services.end(), delta.added_services.begin(),
-                    delta.added_services.end());
-    std::sort(services.begin(), services.end());
-    services.erase(std::unique(services.begin(), services.end()),
-                   services.end());
-    for (service_id const id : delta.removed_services)
-        std::erase(services, id);
-    return services;
-}
-
-// Linear search: the targets of a part that was received as a whole keep the
-// order of the document and aren't sorted by id.
-auto find_position(std::vector<target_record>& targets, target_id id)
-{
-    return std::find_if(targets.begin(), targets.end(),
-                        [id](target_record const& one) {
-                            return one.id == id;
-                        });
-}
-
-target_record const* find_target(service_part const& part, target_id id)
-{
-    for (target_record const& one : part.targets)
-        if (one.id == id)
-            return &one;
-    return nullptr;
-}
-
-route_record const* find_route_record(routes_part const& part,
-                                      peer_address address)
-{
-    auto const found =
-        std::lower_bound(part.routes.begin(), part.routes.end(), address,
-                         [](route_record const& route, peer_address wanted) {
-                             return route.address < wanted;
-                         });
-    bool const is_found =
-        found != part.routes.end() && found->address == address;
-    return is_found ? &*found : nullptr;
-}
-
-// Returns the amount by which a delta increases the digest sum of a service,
-// modulo 2^64; `old` is null when the service is new.
-std::uint64_t compute_digest_gain(service_part const* old,
-                                  service_delta const& delta)
-{
-    std::uint64_t gain = old == nullptr ? hash_name(delta.id, delta.name) : 0;
-    auto const remove_old = [&](target_id id) {
-        target_record const* previous =
-            old == nullptr ? nullptr : find_target(*old, id);
-        if (previous != nullptr)
-            gain -= hash_target(delta.id, *previous);
-    };
-    for (target_record const& target : delta.changed) {
-        remove_old(target.id);
-        gain += hash_target(delta.id, target);
-    }
-    for (target_id const id : delta.removed)
-        remove_old(id);
-    return gain;
-}
-
-std::uint64_t compute_digest_gain(routes_part const& old,
-                                  routes_delta const& delta)
-{
-    std::uint64_t gain = hash_route_settings(delta) - hash_route_settings(old);
-    gain += hash_configured(apply_services(old.services, delta)) -
-            hash_configured(old.services);
-    auto const remove_old = [&](peer_address address) {
-        if (route_record const* previous = find_route_record(old, address))
-            gain -= hash_route(*previous);
-    };
-    for (route_record const& route : delta.changed) {
-        remove_old(route.address);
-        gain += hash_route(route);
-    }
-    for (peer_address const& address : delta.removed)
-        remove_old(address);
-    return gain;
-}
-
-// Merges a later delta into an earlier one; the later record of a target wins.
-void merge(service_delta& into, service_delta const& later)
-{
-    into.name = later.name;
-    for (target_record const& target : later.changed) {
-        std::erase(into.removed, target.id);
-        auto const at = find_position(into.changed, target.id);
-        if (at != into.changed.end())
-            *at = target;
-        else
-            into.changed.push_back(target);
-    }
-    for (target_id const id : later.removed) {
-        auto const at = find_position(into.changed, id);
-        if (at != into.changed.end())
-            into.changed.erase(at);
-        std::erase(into.removed, id);
-        into.removed.push_back(id);
-    }
-}
-
-void merge(routes_delta& into, routes_delta const& later)
-{
-    into.idle_lifetime = later.idle_lifetime;
-    into.version = later.version;
-    into.warm_up_limits = later.warm_up_limits;
-    auto const remove = [&into](peer_address address) {
-        std::erase_if(into.changed, [address](route_record const& one) {
-            return one.address == address;
-        });
-        std::erase(into.removed, address);
-    };
-    for (route_record const& route : later.changed) {
-        remove(route.address);
-        into.changed.push_back(route);
-    }
-    for (peer_address const& address : later.removed) {
-        remove(address);
-        into.removed.push_back(address);
-    }
-    for (service_id const id : later.added_services) {
-        std::erase(into.removed_services, id);
-        into.added_services.push_back(id);
-    }
-    for (service_id const id : later.removed_services) {
-        std::erase(into.added_services, id);
-        into.removed_services.push_back(id);
-    }
-}
-
 // Kept so that peers that are behind can be sent deltas.
 constexpr std::size_t max_recent_changes = 32;
 
@@ -238,44 +17,6 @@
 
 // ---- records ------------------------------------------------------------
 
-// Digests cover the contents without `changed_at`: two processes that got the
-// same contents through different reads may have different generations there.
-digest compute_digest(service_part const& part)
-{
-    std::uint64_t sum = hash_name(part.id, part.name);
-    for (caller_id const caller : part.callers)
-        sum += hash_pair(caller.value, part.id.value);
-    for (target_record const& target : part.targets)
-        sum += hash_target(part.id, target);
-    return {sum};
-}
-
-digest compute_digest(fleet_part const& part)
-{
-    std::uint64_t sum = 0;
-    for (entry_record const& entry : part.entries)
-        sum += hash_entry(0, entry);
-    return {sum};
-}
-
-digest compute_digest(routes_part const& part)
-{
-    std::uint64_t sum =
-        hash_route_settings(part) + hash_configured(part.services);
-    for (route_record const& route : part.routes)
-        sum += hash_route(route);
-    return {sum};
-}
-
-digest compute_digest(evacuations_part const& part)
-{
-    constexpr std::uint64_t seed = 3;
-    std::uint64_t sum = 0;
-    for (std::string const& data_centre : part.data_centres)
-        sum += hash_text(seed, data_centre);
-    return {sum};
-}
-
 bool is_delta_only(catalog_change const& change)
 {
     return change.base != generation{} && change.parts.empty() &&
@@ -312,11 +53,11 @@
         sum += compute_digest(change.routes.value_or(routes_part{})).value;
     for (service_delta const& delta : change.deltas) {
         auto const old = from.services.find(delta.id);
-        sum += compute_digest_gain(
+        sum += detail::compute_digest_gain(
             old == from.services.end() ? nullptr : &old->second, delta);
     }
     if (change.route_delta)
-        sum += compute_digest_gain(from.routes, *change.route_delta);
+        sum += detail::compute_digest_gain(from.routes, *change.route_delta);
     if (change.evacuations && !is_full)
         sum -= compute_digest(from.evacuations).value;
     if (change.evacuations)
@@ -364,7 +105,7 @@
     part.changed_at = to;
     this->current.removed.erase(delta.id);
     auto const remove_old = [this, &part](target_id id) {
-        auto const at = find_position(part.targets, id);
+        auto const at = detail::find_position(part.targets, id);
         if (at == part.targets.end())
             return;
         this->drop_target(*at);
@@ -387,7 +128,7 @@
     part.idle_lifetime = delta.idle_lifetime;
     part.version = delta.version;
     part.warm_up_limits = delta.warm_up_limits;
-    part.services = apply_services(part.services, delta);
+    part.services = detail::apply_services(part.services, delta);
     auto const remove_old = [&part](peer_address address) {
         std::erase_if(part.routes, [address](route_record const& one) {
             return one.address == address;
@@ -599,7 +340,7 @@
             if (known == all.deltas.end())
                 all.deltas.push_back(delta);
             else
-                merge(*known, delta);
+                detail::merge(*known, delta);
         }
         if (one.evacuations)
             all.evacuations = one.evacuations;
@@ -607,7 +348,7 @@
             continue;
         if (!all.route_delta)
             all.route_delta = routes_delta{};
-        merge(*all.route_delta, *one.route_delta);
+        detail::merge(*all.route_delta, *one.route_delta);
     }
     return all;
 }
