Retire a service in the fault soak, with resets of lost connections

The soak's entries left lost connections alone, unlike the platform's template, and no version of its routes took a service out of the configuration, so that it could not find review-7.

Change: entries reset lost connections; each fourth version doesn't list the service members, whose back ends live on.

--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -150,6 +150,7 @@
                                fleet_ports::store) +
            "  \"seeds\": [" + seeds + "],\n  \"change_limit_ms\": 3000,\n" +
            "  \"evacuation_limit_ms\": 3000,\n" +
+           "  \"reset_lost_connections\": true,\n" +
            detail::write_log_fields(log_lines_per_second);
 }
 
--- a/tests/soak/soak_run.hpp
+++ b/tests/soak/soak_run.hpp
@@ -726,25 +726,35 @@
 
     // Stores the next version of the routes. The third route changes its
     // service with each version, the fifth changes its weights, and the fourth
-    // exists in two of three versions.
+    // exists in two of three versions. Each fourth version doesn't list the
+    // service members, whose targets go on.
     void store_routes()
     {
         ++this->routes_version;
         bool const is_even = this->routes_version % 2 == 0;
+        bool const is_retired = this->routes_version % 4 == 0;
         service_id const archive = make_service_id(this->services[0]);
         service_id const renewals = make_service_id(this->services[1]);
         service_id const members = make_service_id(this->services[2]);
         std::vector<std::vector<weighted_service>> const to{
             {{archive, 1}},
             {{renewals, 1}},
-            {{is_even ? members : archive, 1}},
+            {{is_even && !is_retired ? members : archive, 1}},
             {{members, 1}},
-            {{archive, is_even ? 90U : 10U}, {members, is_even ? 10U : 90U}}};
+            is_retired ? std::vector<weighted_service>{{archive, 1}}
+                       : std::vector<weighted_service>{
+                             {archive, is_even ? 90U : 10U},
+                             {members, is_even ? 10U : 90U}}};
+        std::vector<std::string> listed = this->services;
+        if (is_retired)
+            listed.pop_back();
         std::vector<soak_route> const routes = detail::make_soak_routes();
         published_routes published{this->routes_version, {}, 15s};
         route_version checked{read_clock(), {}};
         for (std::size_t i = 0; i < routes.size(); ++i) {
-            if (i == 3 && this->routes_version % 3 == 0)
+            bool const is_missing =
+                i == 3 && (is_retired || this->routes_version % 3 == 0);
+            if (is_missing)
                 continue;
             published.routes.push_back(
                 {.address = routes[i].address,
@@ -762,10 +772,9 @@
             this->routes_version > 1 &&
             this->is_broken_on_purpose(promise::routes_in_force);
         if (!is_hidden)
-            this->store.write(
-                [published, names = this->services](Store& documents) {
-                    documents.put_routes(published, names);
-                });
+            this->store.write([published, listed](Store& documents) {
+                documents.put_routes(published, listed);
+            });
         if (this->routes_version < 3 ||
             !this->is_broken_on_purpose(promise::routes_never_back))
             this->checker.on_routes_stored(checked);
